--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,9 @@
 #include "net/http_server.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -17,6 +21,8 @@
 constexpr std::size_t head_bytes = 8 * 1024;
 constexpr unsigned short header_bytes = 8 * 1024;
 
+constexpr int most_files = 8192;
+
 constexpr int keep_open = 0;
 constexpr int close_now = -1;
 
@@ -296,6 +302,30 @@
     }
 }
 
+// The library has no call for this: the listening socket is found among the open files by its
+// address, and shut down. The library then closes it by itself.
+void http_server::stop_listening() {
+    for (int fd = 0; fd < most_files; ++fd) {
+        int listening = 0;
+        socklen_t length = sizeof(listening);
+        sockaddr_in bound{};
+        socklen_t bound_length = sizeof(bound);
+        const bool listens =
+            getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &length) == 0 && listening != 0;
+        if (!listens || getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &bound_length) != 0) {
+            continue;
+        }
+        in_addr wanted{};
+        inet_pton(AF_INET, options_.address_.ip_.c_str(), &wanted);
+        const bool same = bound.sin_family == AF_INET &&
+                          ntohs(bound.sin_port) == options_.address_.port_ &&
+                          bound.sin_addr.s_addr == wanted.s_addr;
+        if (same) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
+}
+
 int http_server::on_request(lws* wsi) {
     lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
     auto request = read_request(wsi, options_);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -94,6 +94,10 @@
     // Closes connections on which no exchange is open.
     void close_idle();
 
+    // Takes no new connections from now on: callers that try are refused by the host. Connections
+    // that are open stay.
+    void stop_listening();
+
     std::size_t open_exchanges() const { return open_exchanges_; }
     std::size_t open_connections() const { return connections_.size(); }
 
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -64,6 +64,11 @@
 }
 
 void call::begin() {
+    if (!owner_.taking()) {
+        refuse(
+            {status_unavailable, filter::outcome::not_run, filter::reason::stopping, short_retry});
+        return;
+    }
     if (!owner_.configuration_.ready()) {
         refuse(
             {status_unavailable, filter::outcome::not_run, filter::reason::starting, short_retry});
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -100,6 +100,11 @@
     draining_[settings_.host_] = base::instant::max();
 }
 
+void entry::stop_taking() {
+    taking_ = false;
+    server_->stop_listening();
+}
+
 void entry::set_draining(const std::string& host) {
     draining_[host] = loop_.clock().now() + draining_belief;
 }
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -42,13 +42,19 @@
     // From now on each answer ends its caller's connection, and own targets are not chosen.
     void drain();
 
+    // No new connections, and no new requests on those that are open.
+    void stop_taking();
+
     void close_idle_callers() { server_->close_idle(); }
 
     // A host said that it takes no new attempts.
     void set_draining(const std::string& host);
 
+    // Requests that were not answered to their end.
     std::size_t open_calls() const { return server_->open_exchanges(); }
 
+    bool taking() const { return taking_; }
+
 private:
     friend class call;
 
@@ -71,6 +77,7 @@
     observe::metrics& metrics_;
     base::random_engine random_;
     std::unique_ptr<net::http_server> server_;
+    bool taking_ = true;
     std::vector<std::string> headers_;
     // The rules that headers_ was made for.
     config::rules_ptr headers_for_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -183,9 +183,12 @@
 // Ends the process once nothing is in flight, or when the bound has passed.
 void node::check_drained() {
     const base::duration passed = clock_.now() - drain_began_;
-    const bool quiet = guard_->open_attempts() == 0 && entry_->open_calls() == 0;
-    const bool over = passed >= settings_.drain_bound_;
-    if (over || (quiet && passed >= settings_.drain_idle_)) {
+    if (passed >= settings_.drain_idle_ && entry_->taking()) {
+        entry_->stop_taking();
+    }
+    const bool quiet =
+        !entry_->taking() && guard_->open_attempts() == 0 && entry_->open_calls() == 0;
+    if (quiet || passed >= settings_.drain_bound_) {
         entry_->close_idle_callers();
         loop_->stop();
         return;
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -98,11 +98,15 @@
     curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(handle_, CURLOPT_HEADERDATA, &to);
     if (request.body_) {
+        curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
         curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request.body_->data());
         curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(request.body_->size()));
     }
-    answer.whole_ = curl_easy_perform(handle_) == CURLE_OK;
+    const CURLcode code = curl_easy_perform(handle_);
+    answer.whole_ = code == CURLE_OK;
+    answer.not_connected_ = code == CURLE_COULDNT_CONNECT;
     long status = 0;
     curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
     answer.status_ = static_cast<int>(status);
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -1,4 +1,5 @@
-// A caller: one keep-alive HTTP connection, by libcurl.
+// A caller: one keep-alive HTTP connection, by libcurl. Requests with a body get a connection of
+// their own, since libcurl sends again by itself when a kept one turns out to be dead.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +25,8 @@
 struct caller_answer {
     // False if the connection broke before the answer was whole.
     bool whole_ = false;
+    // No connection could be made: nothing was asked.
+    bool not_connected_ = false;
     int status_ = 0;
     // Lower-case names.
     std::map<std::string, std::string> headers_;
