--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -35,6 +35,9 @@
     info.fd_limit_per_thread = file_limit;
     info.gid = -1;
     info.uid = -1;
+    // The library's own timeouts are per context, and their default of 5 s would cut slow targets.
+    info.timeout_secs = library_timeout_s;
+    info.connect_timeout_secs = library_timeout_s;
     loop->context_ = lws_create_context(&info);
     if (loop->context_ == nullptr) {
         return base::fail(base::error_kind::system,
@@ -43,8 +46,6 @@
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.vhost_name = "clients";
     info.protocols = client_protocols();
-    info.timeout_secs = library_timeout_s;
-    info.connect_timeout_secs = library_timeout_s;
     loop->client_vhost_ = lws_create_vhost(loop->context_, &info);
     if (loop->client_vhost_ == nullptr) {
         return base::fail(base::error_kind::system,
--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -11,7 +11,6 @@
 
 constexpr int keep_open = 0;
 constexpr int close_now = -1;
-constexpr unsigned int library_timeout_s = 3600;
 
 }  // namespace
 
@@ -140,7 +139,6 @@
     info.vhost_name = server->slot_->name_.c_str();
     info.protocols = frame_server_protocols();
     info.user = server->slot_;
-    info.timeout_secs = library_timeout_s;
     server->vhost_ = lws_create_vhost(loop.context(), &info);
     if (server->vhost_ == nullptr) {
         return base::fail(base::error_kind::network,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -18,11 +18,11 @@
 constexpr int close_now = -1;
 constexpr std::size_t read_bytes = 16 * 1024;
 
-// True if the peer has not closed its side and has sent nothing more.
-bool connection_quiet(lws* wsi) {
+// True if the peer has closed its side and nothing waits to be read from the socket. The library
+// may still hold bytes that it read before.
+bool peer_closed(lws* wsi) {
     char byte = 0;
-    const ssize_t got = recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
 // False once the request was destroyed or has ended, which its events may bring about.
@@ -133,7 +133,8 @@
     http_answer answer;
     answer.status_ = static_cast<int>(lws_http_client_http_response(wsi_));
     answer.headers_ = read_headers(wsi_, answer_headers_);
-    if (const auto length = read_header(wsi_, "content-length")) {
+    chunked_ = read_header(wsi_, "transfer-encoding").has_value();
+    if (const auto length = read_header(wsi_, "content-length"); length && !chunked_) {
         std::uint64_t bytes = 0;
         std::from_chars(length->data(), length->data() + length->size(), bytes);
         answer.length_ = bytes;
@@ -155,7 +156,16 @@
     std::array<char, LWS_PRE + read_bytes> buffer{};
     char* at = buffer.data() + LWS_PRE;
     int room = static_cast<int>(read_bytes);
-    return lws_http_client_read(wsi_, &at, &room) < 0 ? close_now : keep_open;
+    lws* wsi = wsi_;
+    // The library reports the end of a chunked body and its cut by a close in the same way. Only
+    // an end that was found in bytes of the peer is one: either the peer has not closed yet, or
+    // this very call hands out bytes read before.
+    end_is_parsed_ = !peer_closed(wsi);
+    const int outcome = lws_http_client_read(wsi, &at, &room);
+    if (still_attached(wsi)) {
+        end_is_parsed_ = false;
+    }
+    return outcome < 0 ? close_now : keep_open;
 }
 
 int http_client_request::on_bytes(std::string_view bytes) {
@@ -163,6 +173,7 @@
         bytes = bytes.substr(0, std::min<std::uint64_t>(bytes.size(), *answer_left_));
         *answer_left_ -= bytes.size();
     }
+    end_is_parsed_ = true;
     lws* wsi = wsi_;
     events_->on_answer_body(bytes);
     if (!still_attached(wsi)) {
@@ -172,7 +183,7 @@
 }
 
 int http_client_request::on_completed() {
-    const bool whole = answer_left_ ? *answer_left_ == 0 : connection_quiet(wsi_);
+    const bool whole = answer_left_ ? *answer_left_ == 0 : chunked_ && end_is_parsed_;
     return end(whole);
 }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -90,6 +90,9 @@
     std::optional<std::uint64_t> answer_left_;
     bool handshake_sent_ = false;
     bool answered_ = false;
+    bool chunked_ = false;
+    // The end of a chunked body that is reported now was found in the peer's bytes.
+    bool end_is_parsed_ = false;
     bool paused_ = false;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr int keepalive_s = 75;
-constexpr unsigned int library_timeout_s = 3600;
 constexpr std::size_t head_bytes = 8 * 1024;
 constexpr unsigned short header_bytes = 8 * 1024;
 
@@ -270,7 +269,6 @@
     info.protocols = http_server_protocols();
     info.user = server->slot_;
     info.keepalive_timeout = keepalive_s;
-    info.timeout_secs = library_timeout_s;
     info.max_http_header_data = header_bytes;
     info.server_string = "dandelionridge";
     server->vhost_ = lws_create_vhost(loop.context(), &info);
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -104,7 +104,9 @@
 void call::start_attempt() {
     const auto chosen = owner_.choose(context_.service_->name_, tried_);
     if (!chosen) {
-        if (maybe_ran_) {
+        if (head_sent_) {
+            break_answer();
+        } else if (maybe_ran_) {
             refuse_unknown(filter::reason::target_failed);
         } else {
             refuse_not_run(filter::reason::no_target);
@@ -146,6 +148,16 @@
     };
     std::for_each(filter::request_headers().begin(), filter::request_headers().end(), pass);
     std::for_each(context_.service_->headers_.begin(), context_.service_->headers_.end(), pass);
+    if (resuming_) {
+        const auto add = [&](const char* name, const std::string& value) {
+            wire::header_field field;
+            field.name = name;
+            field.value = value;
+            begin.headers.push_back(std::move(field));
+        };
+        add("range", "bytes=" + std::to_string(forwarded_) + "-");
+        add("if-range", resumable_etag_);
+    }
     wire::header_field host;
     host.name = "host";
     host.value = context_.request_.host_;
@@ -232,11 +244,19 @@
 }
 
 void call::on_answer_head(const wire::answer_head& head) {
+    if (head_sent_ && resuming_) {
+        if (!continues_answer(head)) {
+            leave_attempt();
+            break_answer();
+        }
+        return;
+    }
     if (head_sent_) {
         // The answer is sent once more after a lost link: what the caller has is passed over.
         skip_ = forwarded_;
         return;
     }
+    note_resumable(head);
     net::http_answer answer;
     answer.status_ = head.status;
     for (const wire::header_field& field : head.headers) {
@@ -265,7 +285,7 @@
     }
     leave_attempt();
     if (!part.whole) {
-        break_answer();
+        resume_or_break();
         return;
     }
     over_ = true;
@@ -311,7 +331,7 @@
 void call::on_in_doubt() {
     if (head_sent_ && context_.idempotent_) {
         leave_attempt();
-        break_answer();
+        resume_or_break();
         return;
     }
     if (!head_sent_) {
@@ -322,7 +342,7 @@
 void call::attempt_ended(policy::attempt_outcome outcome, filter::reason why) {
     if (head_sent_) {
         leave_attempt();
-        break_answer();
+        resume_or_break();
         return;
     }
     policy::retry_question question;
@@ -399,6 +419,53 @@
     net::send_answer(exchange_, std::move(answer), body.dump() + "\n");
 }
 
+// Remembers whether another target can continue the answer if this one breaks off.
+void call::note_resumable(const wire::answer_head& head) {
+    constexpr int status_ok = 200;
+    const bool ranged = net::find_header(context_.request_.headers_, "range") != nullptr;
+    if (context_.request_.method_ != "GET" || !context_.idempotent_ || ranged ||
+        head.status != status_ok || !head.__isset.length) {
+        return;
+    }
+    for (const wire::header_field& field : head.headers) {
+        // A weak one begins with W/.
+        if (field.name == "etag" && field.value.starts_with('"')) {
+            resumable_etag_ = field.value;
+            answer_length_ = static_cast<std::uint64_t>(head.length);
+        }
+    }
+}
+
+// True if the head belongs to the rest of the very answer that broke off.
+bool call::continues_answer(const wire::answer_head& head) const {
+    constexpr int status_partial = 206;
+    const std::string expected = "bytes " + std::to_string(forwarded_) + "-" +
+                                 std::to_string(answer_length_ - 1) + "/" +
+                                 std::to_string(answer_length_);
+    bool same_etag = false;
+    bool same_range = false;
+    for (const wire::header_field& field : head.headers) {
+        same_etag = same_etag || (field.name == "etag" && field.value == resumable_etag_);
+        same_range = same_range || (field.name == "content-range" && field.value == expected);
+    }
+    return head.status == status_partial && same_etag && same_range;
+}
+
+// Fetches the rest from another target if it surely is the same, or breaks the answer off.
+void call::resume_or_break() {
+    const bool possible = !resumable_etag_.empty() && attempts_ < policy::most_attempts &&
+                          forwarded_ < answer_length_ &&
+                          owner_.choose(context_.service_->name_, tried_).has_value();
+    if (!possible) {
+        break_answer();
+        return;
+    }
+    resuming_ = true;
+    deadline_ = owner_.loop_.clock().now() + context_.service_->timeout_;
+    owner_.metrics_.count_retry();
+    start_attempt();
+}
+
 // The caller has part of an answer that will never be whole: the break must be seen.
 void call::break_answer() {
     over_ = true;
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -65,6 +65,9 @@
     void refuse(const filter::refusal& refusal);
     void refuse_unknown(filter::reason why);
     void refuse_not_run(filter::reason why);
+    void note_resumable(const wire::answer_head& head);
+    bool continues_answer(const wire::answer_head& head) const;
+    void resume_or_break();
     void break_answer();
     base::duration time_left() const;
 
@@ -89,6 +92,11 @@
     bool over_ = false;
     // Bytes of the answer's body that were passed on to the caller's connection.
     std::uint64_t forwarded_ = 0;
+    // The strong ETag of an answer that can be continued by Range from another target, or empty.
+    std::string resumable_etag_;
+    std::uint64_t answer_length_ = 0;
+    // The attempt under way asks for the rest of an answer.
+    bool resuming_ = false;
     // Bytes of a repeated answer that the caller already has.
     std::uint64_t skip_ = 0;
     // Forwarded bytes still in this process, and those that left it but were not credited yet.
--- a/src/node/guard_attempt.cpp
+++ b/src/node/guard_attempt.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+// Longest time that a target may send nothing in the middle of an answer.
+constexpr base::duration progress_bound = base::seconds(10);
+
+// Longest time that an entry may take no more of an answer: its caller does not read.
+constexpr base::duration stalled_entry_bound = base::seconds(60);
+
 wire::attempt_ref ref_of(const policy::ledger_key& key) {
     wire::attempt_ref ref;
     ref.link = key.attempt_.link_;
@@ -23,7 +29,11 @@
       begin_(std::move(begin)),
       deadline_(loop.clock().now() + base::milliseconds(begin_.deadline_ms)),
       deadline_timer_(loop) {
-    deadline_timer_.start(base::milliseconds(begin_.deadline_ms), [this] {
+    expire_after(base::milliseconds(begin_.deadline_ms));
+}
+
+void guard_attempt::expire_after(base::duration bound) {
+    deadline_timer_.start(bound, [this] {
         if (running()) {
             request_.reset();
             end(attempt_end::timed_out);
@@ -98,10 +108,13 @@
     credit_ += bytes;
     if (credit_ > 0 && running()) {
         request_->resume_answer();
+        expire_after(progress_bound);
     }
 }
 
 void guard_attempt::on_answer(const net::http_answer& answer) {
+    // From here on the answer may take its time as long as it moves.
+    expire_after(progress_bound);
     kept_.headed_ = true;
     kept_.head_.attempt = ref_of(key_);
     kept_.head_.status = answer.status_;
@@ -152,6 +165,9 @@
     credit_ -= static_cast<std::int64_t>(bytes.size());
     if (credit_ <= 0) {
         request_->pause_answer();
+        expire_after(stalled_entry_bound);
+    } else {
+        expire_after(progress_bound);
     }
     send_body(bytes, false, true);
 }
--- a/src/node/guard_attempt.h
+++ b/src/node/guard_attempt.h
@@ -105,6 +105,7 @@
     void on_request_sent(std::size_t bytes) override;
 
 private:
+    void expire_after(base::duration bound);
     void keep(std::string_view bytes);
     void send_head();
     void send_body(std::string_view bytes, bool last, bool whole);
--- a/src/policy/guard_ledger.cpp
+++ b/src/policy/guard_ledger.cpp
@@ -59,7 +59,7 @@
 
 bool accept_link(guard_ledger& ledger, std::int64_t entry_boot, std::int64_t link) {
     entry_record& entry = ledger.entries_[entry_boot];
-    if (link <= entry.last_link_ && ledger.rules_.rise_) {
+    if (link <= entry.last_link_) {
         return false;
     }
     entry.last_link_ = std::max(entry.last_link_, link);
@@ -104,7 +104,7 @@
 link_resolution resolve_link(guard_ledger& ledger, std::int64_t entry_boot, std::int64_t link,
                              std::int64_t named_boot, std::span<const std::int64_t> sequences) {
     link_resolution resolution;
-    if (named_boot != ledger.boot_) {
+    if (named_boot != ledger.boot_ && ledger.rules_.boot_) {
         for (const std::int64_t sequence : sequences) {
             resolution.fates_.push_back({sequence, attempt_fate::unknown});
         }
@@ -115,7 +115,7 @@
     link_record& record = entry.links_[link];
     record.barred_ = true;
     for (auto& [sequence, stage] : record.attempts_) {
-        if (stage == attempt_stage::queued) {
+        if (stage == attempt_stage::queued && ledger.rules_.withdraw_) {
             resolution.withdrawn_.push_back(sequence);
         }
     }
--- a/src/policy/guard_ledger.h
+++ b/src/policy/guard_ledger.h
@@ -1,12 +1,14 @@
 // The guard's record of links and attempts: what makes an attempt run at most once and a
 // "not run" true.
 //
-// Rules, each of which the model in spec/attempt.pml can leave out:
-//   boot:    an attempt that names another boot of this guard is refused;
-//   bar:     once a link was asked about, nothing more of it is accepted;
-//   rise:    a link number at or below one accepted before is refused;
-//   once:    a sequence at or below one seen on its link is refused;
-//   keep:    an attempt whose record was evicted has the fate unknown, never not_run.
+// Rules, each of which tests and the model in spec/attempt.pml can leave out:
+//   boot:     what names another boot of this guard is refused, and its fate is unknown;
+//   bar:      once a link was asked about, nothing more of it is accepted;
+//   withdraw: what waits when its link is barred is taken out of the queue;
+//   once:     a sequence at or below one seen on its link is refused;
+//   keep:     an attempt whose record was evicted has the fate unknown, never not_run.
+// Besides, a link number at or below one accepted before is refused, so that a record of a link is
+// never begun twice.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +25,7 @@
 struct ledger_rules {
     bool boot_ = true;
     bool bar_ = true;
-    bool rise_ = true;
+    bool withdraw_ = true;
     bool once_ = true;
     bool keep_ = true;
 };
--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -46,6 +46,23 @@
     CHECK(fleet.runs_of("r2") == 1);
 }
 
+TEST_CASE("a slow target is given the whole timeout of its service", "[path]") {
+    fleet_plan plan = two_hosts();
+    plan.rules_.pop_back();
+    plan.rules_.pop_back();
+    for (const std::string& line : service_lines("orders", "slots=5 timeout=20s")) {
+        plan.rules_.push_back(line);
+    }
+    fleet fleet(plan);
+    fleet.start_all();
+    // Longer than the HTTP library's default timeout of 5 s.
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(6)});
+    caller caller;
+    const auto answer =
+        caller.send({.url_ = fleet.callers_of("h1") + "/orders/slow", .headers_ = {authorization}});
+    CHECK(answer.status_ == 200);
+}
+
 TEST_CASE("a large download passes both processes without growing them", "[path]") {
     fleet fleet(two_hosts());
     fleet.start_all();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -20,6 +21,7 @@
 
 constexpr std::uint16_t callers_port = 18080;
 constexpr std::uint16_t peers_port = 17070;
+constexpr std::uint16_t relay_port = 17171;
 constexpr std::uint16_t admin_port = 16060;
 constexpr std::uint16_t platform_port = 15050;
 constexpr std::uint16_t first_target_port = 19001;
@@ -74,6 +76,10 @@
         target_addresses_[target.name_] = where;
         targets_[target.name_] = std::make_unique<target_stub>(target.name_, where);
     }
+    for (const std::string& host : plan_.relayed_) {
+        relays_[host] = std::make_unique<relay>(base::address{ip_of(host), relay_port},
+                                                base::address{ip_of(host), peers_port});
+    }
     publish_rules(plan_.rules_);
     publish_hosts({});
 }
@@ -131,6 +137,11 @@
     }
 }
 
+void fleet::kill(const std::string& host) {
+    this->host(host).send_signal(SIGKILL);
+    this->host(host).wait();
+}
+
 void fleet::start_all() {
     for (const std::string& host : host_names()) {
         start(host);
@@ -156,6 +167,10 @@
                : -1;
 }
 
+std::uint16_t fleet::reached_at(const std::string& host) const {
+    return relays_.contains(host) ? relay_port : peers_port;
+}
+
 void fleet::publish_rules(const std::vector<std::string>& lines) {
     plan_.rules_ = lines;
     platform_->publish("rules", ++rules_version_, lines);
@@ -167,7 +182,7 @@
         const bool leaves = std::find(leaving.begin(), leaving.end(), host) != leaving.end();
         nlohmann::json line = {{"host", host},
                                {"zone", zone_of(host)},
-                               {"address", base::to_string({ip_of(host), peers_port})},
+                               {"address", base::to_string({ip_of(host), reached_at(host)})},
                                {"state", leaves ? "leaving" : "live"},
                                {"targets", nlohmann::json::array()}};
         for (const fleet_target& target : plan_.targets_) {
@@ -183,14 +198,18 @@
     platform_->publish("hosts", ++hosts_version_, lines);
 }
 
-int fleet::runs_of(const std::string& request_id) const {
-    int total = 0;
+std::map<std::string, int> fleet::all_runs() const {
+    std::map<std::string, int> all;
     for (const auto& [name, target] : targets_) {
-        const auto runs = target->runs();
-        const auto found = runs.find(request_id);
-        total += found == runs.end() ? 0 : found->second;
+        for (const auto& [id, count] : target->runs()) {
+            all[id] += count;
+        }
     }
-    return total;
+    return all;
+}
+
+int fleet::runs_of(const std::string& request_id) const {
+    return all_runs()[request_id];
 }
 
 std::string fleet::log_of(const std::string& host) const {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -10,6 +10,7 @@
 #include "support/caller.h"
 #include "support/platform_stub.h"
 #include "support/process.h"
+#include "support/relay.h"
 #include "support/target_stub.h"
 
 namespace dandelionridge::support {
@@ -28,8 +29,10 @@
     std::vector<std::string> host_zones_;
     std::vector<fleet_target> targets_;
     std::vector<std::string> rules_;
+    // Hosts whose peer port is reached through a relay.
+    std::vector<std::string> relayed_{};
     // Lines added to every settings file.
-    std::string extra_settings_;
+    std::string extra_settings_{};
 };
 
 // Rule lines for a zone, an organisation with one key, or a service with one keyed route.
@@ -48,11 +51,15 @@
 
     // Starts a host's process; waits until it serves.
     void start(const std::string& host);
+
+    // Ends a host's process without warning.
+    void kill(const std::string& host);
     void start_all();
 
     process& host(const std::string& name) { return *processes_.at(name); }
     target_stub& target(const std::string& name) { return *targets_.at(name); }
     platform_stub& platform() { return *platform_; }
+    relay& relay_of(const std::string& host) { return *relays_.at(host); }
 
     // "IP:PORT" of a host's listener for callers.
     std::string callers_of(const std::string& host) const;
@@ -72,6 +79,9 @@
     const std::vector<std::string>& rules() const { return plan_.rules_; }
     std::vector<std::string> host_names() const;
 
+    // Runs at all targets by request id.
+    std::map<std::string, int> all_runs() const;
+
     // Runs of a request at all targets.
     int runs_of(const std::string& request_id) const;
 
@@ -83,6 +93,7 @@
     std::string ip_of(const std::string& host) const;
     std::string write_settings(const std::string& host, const std::string& zone) const;
     std::string zone_of(const std::string& host) const;
+    std::uint16_t reached_at(const std::string& host) const;
 
     fleet_plan plan_;
     std::string folder_;
@@ -91,6 +102,7 @@
     std::unique_ptr<platform_stub> platform_;
     std::map<std::string, std::unique_ptr<target_stub>> targets_;
     std::map<std::string, base::address> target_addresses_;
+    std::map<std::string, std::unique_ptr<relay>> relays_;
     std::map<std::string, std::unique_ptr<process>> processes_;
 };
 
--- /dev/null
+++ b/tests/support/plans.h
@@ -0,0 +1,27 @@
+// Fleets that several process tests use.
+#pragma once
+
+#include <future>
+#include <string>
+
+#include "support/fleet.h"
+
+namespace dandelionridge::support {
+
+inline const std::string bends_key = "bends-secret";
+inline const std::string bends_authorization = "Authorization: Bearer " + bends_key;
+
+// Hosts h1, h2, ... in the zones given, one target "t1", "t2", ... of the service "orders" on each
+// host named, and the organisation "bends" with a generous rate.
+fleet_plan orders_plan(const std::vector<std::string>& host_zones,
+                       const std::vector<std::string>& target_hosts,
+                       const std::string& service_options);
+
+// A request to "orders" through a host's entry.
+caller_request order(const fleet& fleet, const std::string& entry, const std::string& id,
+                     const std::string& method);
+
+// Sends a request on a thread of its own.
+std::future<caller_answer> send_in_background(const caller_request& request);
+
+}  // namespace dandelionridge::support
--- /dev/null
+++ b/tests/support/relay.h
@@ -0,0 +1,60 @@
+// A TCP relay before a host's peer port, to cut or silence links between processes.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "base/address.h"
+
+namespace dandelionridge::support {
+
+// A direction as seen from the entry that opened the link.
+enum class relay_direction { to_guard, to_entry };
+
+class relay {
+public:
+    relay(const base::address& where, const base::address& to);
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+    ~relay();
+
+    // From now on nothing passes in that direction on the links that are open; new links work.
+    void hold_open_links(relay_direction direction);
+
+    // What was held passes again.
+    void release();
+
+    // While cut, no new link can be opened.
+    void cut_new_links(bool cut) { cut_ = cut; }
+
+    // Links opened so far.
+    int opened() const { return opened_; }
+
+private:
+    struct pipe {
+        int entry_ = -1;
+        int guard_ = -1;
+        bool hold_to_guard_ = false;
+        bool hold_to_entry_ = false;
+        bool over_ = false;
+    };
+
+    void run();
+    void accept_one();
+    static bool pump(int from, int to);
+
+    base::address to_;
+    int listener_ = -1;
+    std::atomic<bool> stopped_ = false;
+    std::atomic<bool> cut_ = false;
+    std::atomic<int> opened_ = 0;
+    std::mutex mutex_;
+    std::list<pipe> pipes_;
+    std::thread thread_;
+};
+
+}  // namespace dandelionridge::support
--- a/tests/support/traffic.cpp
+++ b/tests/support/traffic.cpp
@@ -101,8 +101,9 @@
         thread.join();
     }
     threads_.clear();
+    std::map<std::string, int> all_runs = fleet_.all_runs();
     for (const sent_post& post : posts_) {
-        const int runs = fleet_.runs_of(post.id_);
+        const int runs = all_runs[post.id_];
         if (runs > 1) {
             ++counts_.doubled_;
             complaints_.push_back(post.id_ + " ran " + std::to_string(runs) + " times");
