--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -148,9 +148,15 @@
     reader.time("times", "drain_idle", parsed.drain_idle_);
     reader.time("times", "freshness_bound", parsed.freshness_bound_);
     reader.time("times", "watch_wait", parsed.watch_wait_);
+    reader.time("times", "lease", parsed.lease_);
+    reader.time("times", "view_bound", parsed.view_bound_);
     if (const auto mistake = reader.mistake(text)) {
         return tl::unexpected(*mistake);
     }
+    if (parsed.view_bound_ >= parsed.lease_) {
+        return base::fail(base::error_kind::bad_settings,
+                          name + ": [times] view_bound: must be shorter than lease; lower it");
+    }
     return parsed;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -31,6 +31,11 @@
     base::duration drain_idle_ = base::seconds(1);
     // Age of the newest confirmation beyond which keyed routes are refused.
     base::duration freshness_bound_ = base::seconds(5);
+    // Longest time that an entry may use a lease of quota tokens. The same on all hosts.
+    base::duration lease_ = base::seconds(4);
+    // Oldest agreement of its zone on which an owner of quota grants; shorter than a lease. The
+    // same on all hosts.
+    base::duration view_bound_ = base::seconds(2);
     // Longest wait of one watch on the platform.
     base::duration watch_wait_ = base::seconds(2);
 };
--- /dev/null
+++ b/src/control/gossip.cpp
@@ -0,0 +1,197 @@
+#include "control/gossip.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "policy/spread.h"
+
+namespace dandelionridge::control {
+
+namespace {
+
+constexpr std::size_t asked_elsewhere = 2;
+constexpr base::duration pull_pause = base::milliseconds(300);
+constexpr base::duration question_memory = base::seconds(10);
+// Without a confirmation for this long, a host that is no reader reads for itself.
+constexpr base::duration reading_fallback = base::seconds(6);
+constexpr std::int64_t longest_age_ms = 1'000'000'000;
+
+value_kind to_kind(wire::config_value value) {
+    return value == wire::config_value::rules ? value_kind::rules : value_kind::hosts;
+}
+
+wire::config_value to_wire(value_kind kind) {
+    return kind == value_kind::rules ? wire::config_value::rules : wire::config_value::hosts;
+}
+
+}  // namespace
+
+gossip::gossip(const base::runtime_clock& clock, configuration& configuration, peer_sender& peers,
+               gossip_options options)
+    : clock_(clock),
+      configuration_(configuration),
+      peers_(peers),
+      options_(std::move(options)),
+      random_(base::make_random_engine()) {
+    view_.self_ = options_.host_;
+}
+
+void gossip::on_hosts_changed() {
+    std::vector<std::string> members;
+    elsewhere_.clear();
+    for (const config::host_entry& host : configuration_.hosts()->hosts_) {
+        if (host.zone_ == options_.zone_) {
+            members.push_back(host.name_);
+        } else {
+            elsewhere_.push_back(host.name_);
+        }
+    }
+    policy::set_members(view_, configuration_.version(value_kind::hosts), std::move(members));
+}
+
+wire::config_versions gossip::versions() const {
+    wire::config_versions versions;
+    versions.rules = configuration_.version(value_kind::rules);
+    versions.hosts = configuration_.version(value_kind::hosts);
+    const auto age = base::whole_ms(configuration_.confirmed_age(clock_.now()));
+    versions.confirmed_age_ms = std::min(age, longest_age_ms);
+    return versions;
+}
+
+base::duration gossip::freshness_age() const {
+    const base::instant now = clock_.now();
+    const base::instant heard = policy::majority_heard(view_, now);
+    // A host that is alone in its zone has nobody's word but its own.
+    const base::duration by_zone = view_.members_.size() > 1 ? now - heard : base::duration::max();
+    return std::min(configuration_.confirmed_age(now), by_zone);
+}
+
+bool gossip::should_read() const {
+    return !configuration_.ready() ||
+           policy::is_reader(options_.zone_, view_.members_, options_.host_) ||
+           configuration_.confirmed_age(clock_.now()) > reading_fallback;
+}
+
+void gossip::tick() {
+    const base::instant now = clock_.now();
+    if (now < next_round_) {
+        return;
+    }
+    next_round_ = now + options_.interval_;
+    std::erase_if(questions_, [&](const auto& entry) {
+        return now - entry.second.asked_at_ > question_memory;
+    });
+    for (const std::string& member : view_.members_) {
+        if (member != options_.host_) {
+            ask(member);
+        }
+    }
+    for (std::size_t i = 0; i < asked_elsewhere && !elsewhere_.empty(); ++i) {
+        ask(elsewhere_[base::random_below(random_, elsewhere_.size())]);
+    }
+}
+
+void gossip::ask(const std::string& peer) {
+    wire::frame frame;
+    frame.__isset.view_question_ = true;
+    frame.view_question_.nonce = next_nonce_++;
+    frame.view_question_.versions = versions();
+    questions_[frame.view_question_.nonce] = {peer, clock_.now()};
+    peers_.send(peer, frame);
+}
+
+wire::view_answer gossip::on_question(const std::string& peer,
+                                      const wire::view_question& question) {
+    on_versions(peer, question.versions);
+    wire::view_answer answer;
+    answer.nonce = question.nonce;
+    answer.versions = versions();
+    return answer;
+}
+
+void gossip::on_answer(const std::string& peer, const wire::view_answer& answer) {
+    const auto found = questions_.find(answer.nonce);
+    if (found == questions_.end() || found->second.peer_ != peer) {
+        return;
+    }
+    const base::instant asked_at = found->second.asked_at_;
+    questions_.erase(found);
+    policy::note_exchange(view_, peer, {asked_at, answer.versions.hosts});
+    // The peer's confirmation is at least as recent as its age before the question.
+    configuration_.confirm(asked_at - base::milliseconds(answer.versions.confirmed_age_ms));
+    on_versions(peer, answer.versions);
+}
+
+void gossip::on_versions(const std::string& peer, const wire::config_versions& seen) {
+    policy::note_version(view_, seen.hosts);
+    pull_if_behind(peer, value_kind::rules, seen.rules);
+    pull_if_behind(peer, value_kind::hosts, seen.hosts);
+}
+
+void gossip::pull_if_behind(const std::string& peer, value_kind kind, std::int64_t version) {
+    const std::int64_t have = configuration_.version(kind);
+    const base::instant now = clock_.now();
+    base::instant& last = pulled_at_[kind == value_kind::rules ? 0 : 1];
+    if (version > have && now - last >= pull_pause) {
+        last = now;
+        pull(peer, kind, have);
+    }
+}
+
+void gossip::pull(const std::string& peer, value_kind kind, std::int64_t have) {
+    wire::frame frame;
+    frame.__isset.pull_ = true;
+    frame.pull_.value = to_wire(kind);
+    frame.pull_.have = have;
+    peers_.send(peer, frame);
+}
+
+void gossip::on_pull(const std::string& peer, const wire::config_pull& pull) {
+    const value_kind kind = to_kind(pull.value);
+    if (configuration_.version(kind) > pull.have) {
+        send_update(peer, kind, pull.have, "");
+    }
+}
+
+void gossip::send_update(const std::string& peer, value_kind kind, std::int64_t have,
+                         const std::string& origin) {
+    config::line_delta delta = configuration_.delta_from(kind, have);
+    wire::frame frame;
+    frame.__isset.update_ = true;
+    frame.update_.value = to_wire(kind);
+    frame.update_.base = delta.base_;
+    frame.update_.version = delta.version_;
+    frame.update_.removed = std::move(delta.removed_);
+    frame.update_.added = std::move(delta.added_);
+    frame.update_.digest = static_cast<std::int64_t>(delta.digest_);
+    frame.update_.origin = origin;
+    peers_.send(peer, frame);
+}
+
+offer_outcome gossip::on_update(const std::string& peer, const wire::config_update& update) {
+    const value_kind kind = to_kind(update.value);
+    const config::line_delta delta{update.base, update.version, update.removed, update.added,
+                                   static_cast<std::uint64_t>(update.digest)};
+    const offer_outcome outcome = configuration_.offer_delta(kind, delta);
+    if (outcome == offer_outcome::accepted && !update.origin.empty()) {
+        spread(kind, update.origin);
+    }
+    if (outcome == offer_outcome::gap) {
+        pull(peer, kind, 0);
+    }
+    return outcome;
+}
+
+void gossip::on_published(value_kind kind) {
+    spread(kind, options_.host_);
+}
+
+void gossip::spread(value_kind kind, const std::string& origin) {
+    const std::int64_t before = configuration_.state(kind).previous_.version_;
+    for (const std::string& child :
+         policy::spread_children(view_.members_, origin, options_.host_)) {
+        send_update(child, kind, before, origin);
+    }
+}
+
+}  // namespace dandelionridge::control
--- /dev/null
+++ b/src/control/peer_sender.h
@@ -0,0 +1,20 @@
+// How controllers speak to other processes.
+#pragma once
+
+#include <string>
+
+namespace dandelionridge::wire {
+class frame;
+}
+
+namespace dandelionridge::control {
+
+class peer_sender {
+public:
+    virtual ~peer_sender() = default;
+
+    // Sends a frame to a host by name; it may be lost. Unknown hosts are passed over.
+    virtual void send(const std::string& host, const wire::frame& frame) = 0;
+};
+
+}  // namespace dandelionridge::control
--- a/src/filter/request_context.h
+++ b/src/filter/request_context.h
@@ -23,6 +23,7 @@
     key_invalid,
     no_route,
     over_rate,
+    quota_unavailable,
     configuration_stale,
     starting,
     stopping,
@@ -46,7 +47,7 @@
 struct request_context {
     config::rules_ptr rules_;
     net::http_request request_;
-    // Age of the newest confirmation that the rules are current.
+    // Age of the newest evidence that the rules are current.
     base::duration confirmed_age_{};
     base::duration freshness_bound_{};
 
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -52,7 +52,7 @@
       deadline_timer_(owner.loop_) {
     context_.rules_ = owner.configuration_.rules();
     context_.request_ = std::move(request);
-    context_.confirmed_age_ = owner.configuration_.confirmed_age(began_);
+    context_.confirmed_age_ = owner.identity_.freshness_age_();
     context_.freshness_bound_ = owner.settings_.freshness_bound_;
     owner_.metrics_.count_request();
     begin();
@@ -97,6 +97,11 @@
     refuse({status_too_many, filter::outcome::not_run, filter::reason::over_rate, retry_after});
 }
 
+void call::on_no_owner() {
+    refuse({status_unavailable, filter::outcome::not_run, filter::reason::quota_unavailable,
+            short_retry});
+}
+
 base::duration call::time_left() const {
     return deadline_ - owner_.loop_.clock().now();
 }
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -31,6 +31,7 @@
 
     void on_admitted() override;
     void on_over_rate(base::duration retry_after) override;
+    void on_no_owner() override;
 
     void on_written(policy::attempt_id attempt) override;
     void on_answer_head(const wire::answer_head& head) override;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -45,11 +45,12 @@
 
 }  // namespace
 
-entry::entry(net::event_loop& loop, const config::settings& settings,
+entry::entry(net::event_loop& loop, const config::settings& settings, const link_identity& identity,
              const control::configuration& configuration, control::quota_gate& quota,
              link_pool& links, observe::metrics& metrics)
     : loop_(loop),
       settings_(settings),
+      identity_(identity),
       configuration_(configuration),
       quota_(quota),
       links_(links),
@@ -60,10 +61,12 @@
 
 base::result<std::unique_ptr<entry>> entry::create(net::event_loop& loop,
                                                    const config::settings& settings,
+                                                   const link_identity& identity,
                                                    const control::configuration& configuration,
                                                    control::quota_gate& quota, link_pool& links,
                                                    observe::metrics& metrics) {
-    std::unique_ptr<entry> made(new entry(loop, settings, configuration, quota, links, metrics));
+    std::unique_ptr<entry> made(
+        new entry(loop, settings, identity, configuration, quota, links, metrics));
     entry* self = made.get();
     net::http_server_options options{
         settings.callers_,
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -32,6 +32,7 @@
 public:
     static base::result<std::unique_ptr<entry>> create(net::event_loop& loop,
                                                        const config::settings& settings,
+                                                       const link_identity& identity,
                                                        const control::configuration& configuration,
                                                        control::quota_gate& quota, link_pool& links,
                                                        observe::metrics& metrics);
@@ -58,7 +59,7 @@
 private:
     friend class call;
 
-    entry(net::event_loop& loop, const config::settings& settings,
+    entry(net::event_loop& loop, const config::settings& settings, const link_identity& identity,
           const control::configuration& configuration, control::quota_gate& quota, link_pool& links,
           observe::metrics& metrics);
 
@@ -71,6 +72,7 @@
 
     net::event_loop& loop_;
     const config::settings& settings_;
+    const link_identity& identity_;
     const control::configuration& configuration_;
     control::quota_gate& quota_;
     link_pool& links_;
--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -122,7 +122,9 @@
     } else if (frame.__isset.ping_) {
         on_ping(link, frame.ping_);
     } else {
-        listener_.on_control_frame(link.host_, std::move(frame));
+        net::frame_socket* back = link.socket_.get();
+        listener_.on_control_frame(link.host_, std::move(frame),
+                                   [back](const wire::frame& answer) { back->send(answer); });
     }
 }
 
@@ -232,8 +234,7 @@
     if (begin.key_id.empty()) {
         return std::nullopt;
     }
-    const base::duration age = configuration_.confirmed_age(loop_.clock().now());
-    if (age > settings_.freshness_bound_) {
+    if (identity_.freshness_age_() > settings_.freshness_bound_) {
         return wire::refusal_reason::configuration_stale;
     }
     const config::rule_set& rules = *configuration_.rules();
--- a/src/node/guard_link.cpp
+++ b/src/node/guard_link.cpp
@@ -112,6 +112,7 @@
 
 void guard_link::send_control(wire::frame frame) {
     last_used_ = loop_.clock().now();
+    control_sent_ = true;
     if (is_open()) {
         send(frame);
         return;
@@ -313,7 +314,8 @@
         lose("silent");
         return;
     }
-    if (!attempts_.empty() || ping_nonce_ != pong_nonce_) {
+    if (!attempts_.empty() || control_sent_ || ping_nonce_ != pong_nonce_) {
+        control_sent_ = false;
         wire::frame frame;
         frame.__isset.ping_ = true;
         frame.ping_.nonce = ++ping_nonce_;
@@ -367,7 +369,8 @@
     } else if (frame.__isset.drain_) {
         listener_.on_peer_draining(peer_);
     } else {
-        listener_.on_control_frame(peer_, std::move(frame));
+        listener_.on_control_frame(peer_, std::move(frame),
+                                   [this](const wire::frame& answer) { send(answer); });
     }
 }
 
--- a/src/node/guard_link.h
+++ b/src/node/guard_link.h
@@ -49,15 +49,21 @@
     std::string host_;
     std::string zone_;
     std::function<wire::config_versions()> versions_;
+    // Age of the newest evidence that the configuration in force here is current.
+    std::function<base::duration()> freshness_age_;
 };
 
+using frame_reply = std::function<void(const wire::frame&)>;
+
 // Frames that concern no attempt, and news of the peer.
 class link_listener {
 public:
     virtual ~link_listener() = default;
 
     virtual void on_peer_versions(const std::string& peer, const wire::config_versions& seen) = 0;
-    virtual void on_control_frame(const std::string& peer, wire::frame&& frame) = 0;
+    // `reply` sends a frame back on the same link; it is valid during the call only.
+    virtual void on_control_frame(const std::string& peer, wire::frame&& frame,
+                                  const frame_reply& reply) = 0;
     virtual void on_peer_draining(const std::string& peer) = 0;
 };
 
@@ -97,8 +103,6 @@
     // True if nothing is outstanding and nothing was sent or received for a while.
     bool idle(base::instant now) const;
 
-    std::uint64_t control_bytes() const { return control_bytes_; }
-
     void on_open(net::frame_socket& socket) override;
     void on_frame(net::frame_socket& socket, wire::frame&& frame) override;
     void on_closed(net::frame_socket& socket) override;
@@ -142,7 +146,8 @@
     std::int64_t ping_nonce_ = 0;
     std::int64_t pong_nonce_ = 0;
     base::instant last_used_{};
-    std::uint64_t control_bytes_ = 0;
+    // Something that asks for an answer was sent since the last ping.
+    bool control_sent_ = false;
     int failures_ = 0;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr base::duration tick_interval = base::milliseconds(20);
+// Questions to each host of the zone within the bound on the age of their answers.
+constexpr int questions_a_view = 4;
 constexpr base::duration drain_check_interval = base::milliseconds(50);
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
@@ -50,9 +53,15 @@
 node::node(const base::runtime_clock& clock, config::settings settings)
     : clock_(clock),
       settings_(std::move(settings)),
-      identity_{draw_boot_id(), settings_.host_, settings_.zone_, [this] { return versions(); }},
+      identity_{draw_boot_id(), settings_.host_, settings_.zone_,
+                [this] { return gossip_.versions(); }, [this] { return gossip_.freshness_age(); }},
       events_({settings_.host_, settings_.zone_, identity_.boot_}),
-      quota_(clock, configuration_) {}
+      gossip_(clock, configuration_, *this,
+              {settings_.host_, settings_.zone_, settings_.view_bound_ / questions_a_view}),
+      quota_(clock, configuration_, gossip_.view(), *this,
+             {settings_.host_,
+              settings_.zone_,
+              {.lease_ = settings_.lease_, .view_bound_ = settings_.view_bound_}}) {}
 
 node::~node() = default;
 
@@ -73,13 +82,15 @@
     }
     loop_ = std::move(*loop);
     drain_timer_ = std::make_unique<net::timer>(*loop_);
+    tick_timer_ = std::make_unique<net::timer>(*loop_);
     links_ = std::make_unique<link_pool>(*loop_, identity_, events_, *this);
     auto opened_guard = guard::create(*loop_, settings_, identity_, configuration_, events_, *this);
     if (!opened_guard) {
         return tl::unexpected(opened_guard.error());
     }
     guard_ = std::move(*opened_guard);
-    auto opened_entry = entry::create(*loop_, settings_, configuration_, quota_, *links_, metrics_);
+    auto opened_entry =
+        entry::create(*loop_, settings_, identity_, configuration_, quota_, *links_, metrics_);
     if (!opened_entry) {
         return tl::unexpected(opened_entry.error());
     }
@@ -87,7 +98,9 @@
     if (auto admin = open_admin(); !admin) {
         return admin;
     }
-    watch_platform();
+    make_readers();
+    configuration_.on_accepted([this](control::value_kind kind) { on_accepted(kind); });
+    tick();
     record("started", {{"callers", base::to_string(settings_.callers_)},
                        {"peers", base::to_string(settings_.peers_)}});
     return true;
@@ -114,11 +127,33 @@
     return true;
 }
 
-void node::watch_platform() {
+void node::make_readers() {
     rules_reader_ = make_reader(control::value_kind::rules);
     hosts_reader_ = make_reader(control::value_kind::hosts);
-    rules_reader_->start(0);
-    hosts_reader_->start(0);
+}
+
+// What controllers do in their own time.
+void node::tick() {
+    gossip_.tick();
+    quota_.tick();
+    const bool reads = gossip_.should_read();
+    for (const auto kind : {control::value_kind::rules, control::value_kind::hosts}) {
+        net::platform_reader& reader =
+            kind == control::value_kind::rules ? *rules_reader_ : *hosts_reader_;
+        if (reads) {
+            reader.start(configuration_.version(kind));
+        } else {
+            reader.stop();
+        }
+    }
+    tick_timer_->start(tick_interval, [this] { tick(); });
+}
+
+void node::on_accepted(control::value_kind kind) {
+    if (kind == control::value_kind::hosts) {
+        gossip_.on_hosts_changed();
+        quota_.on_hosts_changed();
+    }
 }
 
 std::unique_ptr<net::platform_reader> node::make_reader(control::value_kind kind) {
@@ -148,14 +183,9 @@
         fields.push_back({"error", configuration_.state(kind).rejected_->message_});
     }
     record("configuration", std::move(fields));
-}
-
-wire::config_versions node::versions() const {
-    wire::config_versions versions;
-    versions.rules = configuration_.version(control::value_kind::rules);
-    versions.hosts = configuration_.version(control::value_kind::hosts);
-    versions.confirmed_age_ms = base::whole_ms(configuration_.confirmed_age(clock_.now()));
-    return versions;
+    if (outcome == control::offer_outcome::accepted) {
+        gossip_.on_published(kind);
+    }
 }
 
 void node::run() {
@@ -196,9 +226,48 @@
     drain_timer_->start(drain_check_interval, [this] { check_drained(); });
 }
 
-void node::on_peer_versions(const std::string& /*peer*/, const wire::config_versions& /*seen*/) {}
+void node::on_peer_versions(const std::string& peer, const wire::config_versions& seen) {
+    gossip_.on_versions(peer, seen);
+}
+
+void node::on_control_frame(const std::string& peer, wire::frame&& frame,
+                            const frame_reply& reply) {
+    wire::frame answer;
+    if (frame.__isset.view_question_) {
+        answer.__set_view_answer_(gossip_.on_question(peer, frame.view_question_));
+        reply(answer);
+    } else if (frame.__isset.view_answer_) {
+        gossip_.on_answer(peer, frame.view_answer_);
+    } else if (frame.__isset.pull_) {
+        gossip_.on_pull(peer, frame.pull_);
+    } else if (frame.__isset.update_) {
+        on_update(peer, frame.update_);
+    } else if (frame.__isset.lease_request_) {
+        answer.__set_lease_grant_(quota_.on_request(frame.lease_request_));
+        reply(answer);
+    } else if (frame.__isset.lease_grant_) {
+        quota_.on_grant(peer, frame.lease_grant_);
+    } else if (frame.__isset.lease_return_) {
+        quota_.on_return(frame.lease_return_);
+    }
+}
+
+void node::on_update(const std::string& peer, const wire::config_update& update) {
+    const control::offer_outcome outcome = gossip_.on_update(peer, update);
+    if (outcome != control::offer_outcome::old) {
+        record("configuration_from_peer",
+               {{"peer", peer},
+                {"value", update.value == wire::config_value::rules ? "rules" : "hosts"},
+                {"version", std::to_string(update.version)},
+                {"outcome", to_text(outcome)}});
+    }
+}
 
-void node::on_control_frame(const std::string& /*peer*/, wire::frame&& /*frame*/) {}
+void node::send(const std::string& host, const wire::frame& frame) {
+    if (const config::host_entry* entry = config::find_host(*configuration_.hosts(), host)) {
+        links_->to(*entry).send_control(frame);
+    }
+}
 
 void node::on_peer_draining(const std::string& peer) {
     entry_->set_draining(peer);
@@ -251,6 +320,9 @@
         {"draining", draining_},
         {"configuration", values},
         {"confirmed_age_ms", base::whole_ms(configuration_.confirmed_age(clock_.now()))},
+        {"freshness_age_ms", base::whole_ms(gossip_.freshness_age())},
+        {"reads_platform", gossip_.should_read()},
+        {"quota_tenure", quota_.holds_tenure()},
         {"pauses", loop_->pause_count()},
         {"links", links_->size()},
         {"calls", entry_->open_calls()},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,7 +9,9 @@
 #include "base/error.h"
 #include "config/settings.h"
 #include "control/configuration.h"
-#include "control/local_quota.h"
+#include "control/fleet_quota.h"
+#include "control/gossip.h"
+#include "control/peer_sender.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/platform_reader.h"
@@ -21,7 +23,7 @@
 
 namespace dandelionridge::node {
 
-class node final : public link_listener {
+class node final : public link_listener, public control::peer_sender {
 public:
     static base::result<std::unique_ptr<node>> create(const base::runtime_clock& clock,
                                                       config::settings settings);
@@ -36,17 +38,22 @@
     void stop();
 
     void on_peer_versions(const std::string& peer, const wire::config_versions& seen) override;
-    void on_control_frame(const std::string& peer, wire::frame&& frame) override;
+    void on_control_frame(const std::string& peer, wire::frame&& frame,
+                          const frame_reply& reply) override;
     void on_peer_draining(const std::string& peer) override;
 
+    void send(const std::string& host, const wire::frame& frame) override;
+
 private:
     node(const base::runtime_clock& clock, config::settings settings);
     base::result<bool> open();
     base::result<bool> open_admin();
-    void watch_platform();
+    void make_readers();
+    void tick();
+    void on_accepted(control::value_kind kind);
+    void on_update(const std::string& peer, const wire::config_update& update);
     std::unique_ptr<net::platform_reader> make_reader(control::value_kind kind);
     void on_published(control::value_kind kind, const net::platform_version& published);
-    wire::config_versions versions() const;
     std::string answer_admin(const std::string& path, int& status, std::string& type) const;
     std::string status_json() const;
     std::string render_metrics() const;
@@ -60,7 +67,8 @@
     observe::event_log events_;
     observe::metrics metrics_;
     control::configuration configuration_;
-    control::local_quota quota_;
+    control::gossip gossip_;
+    control::fleet_quota quota_;
     std::unique_ptr<net::event_loop> loop_;
     std::unique_ptr<link_pool> links_;
     std::unique_ptr<guard> guard_;
@@ -69,6 +77,7 @@
     std::unique_ptr<net::platform_reader> rules_reader_;
     std::unique_ptr<net::platform_reader> hosts_reader_;
     std::unique_ptr<net::timer> drain_timer_;
+    std::unique_ptr<net::timer> tick_timer_;
     base::instant drain_began_{};
     bool draining_ = false;
 };
--- /dev/null
+++ b/src/policy/zone_view.cpp
@@ -0,0 +1,74 @@
+#include "policy/zone_view.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace dandelionridge::policy {
+
+namespace {
+
+// The time that the exchanges of more than half of the members reach back to.
+base::instant majority_since(const zone_view& view, std::vector<base::instant> heard,
+                             base::instant now) {
+    // This host hears itself.
+    heard.push_back(now);
+    const std::size_t needed = view.members_.size() / 2 + 1;
+    if (heard.size() < needed) {
+        return {};
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    return heard[needed - 1];
+}
+
+}  // namespace
+
+void set_members(zone_view& view, std::int64_t hosts_version, std::vector<std::string> members) {
+    view.hosts_version_ = hosts_version;
+    view.members_ = std::move(members);
+    view.newest_seen_ = std::max(view.newest_seen_, hosts_version);
+    std::erase_if(view.exchanges_, [&](const auto& entry) {
+        return std::find(view.members_.begin(), view.members_.end(), entry.first) ==
+               view.members_.end();
+    });
+}
+
+void note_exchange(zone_view& view, const std::string& peer, peer_exchange exchange) {
+    note_version(view, exchange.hosts_version_);
+    peer_exchange& known = view.exchanges_[peer];
+    if (exchange.asked_at_ >= known.asked_at_) {
+        known = exchange;
+    }
+}
+
+void note_version(zone_view& view, std::int64_t hosts_version) {
+    view.newest_seen_ = std::max(view.newest_seen_, hosts_version);
+}
+
+base::instant majority_heard(const zone_view& view, base::instant now) {
+    std::vector<base::instant> heard;
+    for (const std::string& member : view.members_) {
+        const auto found = view.exchanges_.find(member);
+        if (member != view.self_ && found != view.exchanges_.end()) {
+            heard.push_back(found->second.asked_at_);
+        }
+    }
+    return majority_since(view, std::move(heard), now);
+}
+
+base::instant majority_agreed(const zone_view& view, base::instant now) {
+    if (view.newest_seen_ > view.hosts_version_) {
+        return {};
+    }
+    std::vector<base::instant> heard;
+    for (const std::string& member : view.members_) {
+        const auto found = view.exchanges_.find(member);
+        if (member != view.self_ && found != view.exchanges_.end() &&
+            found->second.hosts_version_ >= view.hosts_version_) {
+            heard.push_back(found->second.asked_at_);
+        }
+    }
+    return majority_since(view, std::move(heard), now);
+}
+
+}  // namespace dandelionridge::policy
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -176,26 +176,46 @@
     4: list<string> removed
     5: list<string> added
     6: i64 digest
+    // Host that read the version from the platform: the root of the tree by which it spreads.
+    7: string origin
+}
+
+// Asks a peer for its versions; with its answer it shows how recent the sender's view is.
+struct view_question {
+    1: i64 nonce
+    2: config_versions versions
+}
+
+struct view_answer {
+    1: i64 nonce
+    2: config_versions versions
 }
 
 struct lease_request {
     1: i64 request
     2: string organisation
     3: i32 tokens
+    // Leases of this owner that are used up.
+    4: list<i64> finished
 }
 
 struct lease_grant {
     1: i64 request
     2: string organisation
-    3: i32 tokens
-    4: i32 valid_ms
-    5: i32 retry_after_ms
-    6: bool owner
+    3: i64 lease
+    4: i32 tokens
+    // Counted from the time at which the request was sent.
+    5: i32 valid_ms
+    6: i32 retry_after_ms
+    // False if the asked host may not grant: it does not own the share, or not yet, or it is cut
+    // off from its zone.
+    7: bool granting
 }
 
 struct lease_return {
     1: string organisation
-    2: i32 tokens
+    2: i64 lease
+    3: i32 tokens
 }
 
 struct frame {
@@ -218,4 +238,6 @@
     17: optional lease_request lease_request_
     18: optional lease_grant lease_grant_
     19: optional lease_return lease_return_
+    20: optional view_question view_question_
+    21: optional view_answer view_answer_
 }
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -3140,6 +3140,10 @@
 void config_update::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void config_update::__set_origin(const std::string& val) {
+  this->origin = val;
+}
 std::ostream& operator<<(std::ostream& out, const config_update& obj)
 {
   obj.printTo(out);
@@ -3242,6 +3246,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3299,6 +3311,10 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3312,6 +3328,7 @@
   swap(a.removed, b.removed);
   swap(a.added, b.added);
   swap(a.digest, b.digest);
+  swap(a.origin, b.origin);
   swap(a.__isset, b.__isset);
 }
 
@@ -3322,6 +3339,7 @@
   removed = other117.removed;
   added = other117.added;
   digest = other117.digest;
+  origin = other117.origin;
   __isset = other117.__isset;
 }
 config_update::config_update(config_update&& other118) noexcept {
@@ -3331,6 +3349,7 @@
   removed = std::move(other118.removed);
   added = std::move(other118.added);
   digest = other118.digest;
+  origin = std::move(other118.origin);
   __isset = other118.__isset;
 }
 config_update& config_update::operator=(const config_update& other119) {
@@ -3340,6 +3359,7 @@
   removed = other119.removed;
   added = other119.added;
   digest = other119.digest;
+  origin = other119.origin;
   __isset = other119.__isset;
   return *this;
 }
@@ -3350,6 +3370,7 @@
   removed = std::move(other120.removed);
   added = std::move(other120.added);
   digest = other120.digest;
+  origin = std::move(other120.origin);
   __isset = other120.__isset;
   return *this;
 }
@@ -3362,6 +3383,253 @@
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "added=" << to_string(added);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "origin=" << to_string(origin);
+  out << ")";
+}
+
+
+view_question::~view_question() noexcept {
+}
+
+
+void view_question::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void view_question::__set_versions(const config_versions& val) {
+  this->versions = val;
+}
+std::ostream& operator<<(std::ostream& out, const view_question& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t view_question::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->versions.read(iprot);
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t view_question::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("view_question");
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->versions.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(view_question &a, view_question &b) {
+  using ::std::swap;
+  swap(a.nonce, b.nonce);
+  swap(a.versions, b.versions);
+  swap(a.__isset, b.__isset);
+}
+
+view_question::view_question(const view_question& other121) noexcept {
+  nonce = other121.nonce;
+  versions = other121.versions;
+  __isset = other121.__isset;
+}
+view_question::view_question(view_question&& other122) noexcept {
+  nonce = other122.nonce;
+  versions = std::move(other122.versions);
+  __isset = other122.__isset;
+}
+view_question& view_question::operator=(const view_question& other123) noexcept {
+  nonce = other123.nonce;
+  versions = other123.versions;
+  __isset = other123.__isset;
+  return *this;
+}
+view_question& view_question::operator=(view_question&& other124) noexcept {
+  nonce = other124.nonce;
+  versions = std::move(other124.versions);
+  __isset = other124.__isset;
+  return *this;
+}
+void view_question::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "view_question(";
+  out << "nonce=" << to_string(nonce);
+  out << ", " << "versions=" << to_string(versions);
+  out << ")";
+}
+
+
+view_answer::~view_answer() noexcept {
+}
+
+
+void view_answer::__set_nonce(const int64_t val) {
+  this->nonce = val;
+}
+
+void view_answer::__set_versions(const config_versions& val) {
+  this->versions = val;
+}
+std::ostream& operator<<(std::ostream& out, const view_answer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t view_answer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nonce);
+          this->__isset.nonce = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->versions.read(iprot);
+          this->__isset.versions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t view_answer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("view_answer");
+
+  xfer += oprot->writeFieldBegin("nonce", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->nonce);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("versions", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->versions.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(view_answer &a, view_answer &b) {
+  using ::std::swap;
+  swap(a.nonce, b.nonce);
+  swap(a.versions, b.versions);
+  swap(a.__isset, b.__isset);
+}
+
+view_answer::view_answer(const view_answer& other125) noexcept {
+  nonce = other125.nonce;
+  versions = other125.versions;
+  __isset = other125.__isset;
+}
+view_answer::view_answer(view_answer&& other126) noexcept {
+  nonce = other126.nonce;
+  versions = std::move(other126.versions);
+  __isset = other126.__isset;
+}
+view_answer& view_answer::operator=(const view_answer& other127) noexcept {
+  nonce = other127.nonce;
+  versions = other127.versions;
+  __isset = other127.__isset;
+  return *this;
+}
+view_answer& view_answer::operator=(view_answer&& other128) noexcept {
+  nonce = other128.nonce;
+  versions = std::move(other128.versions);
+  __isset = other128.__isset;
+  return *this;
+}
+void view_answer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "view_answer(";
+  out << "nonce=" << to_string(nonce);
+  out << ", " << "versions=" << to_string(versions);
   out << ")";
 }
 
@@ -3381,6 +3649,10 @@
 void lease_request::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
+
+void lease_request::__set_finished(const std::vector<int64_t> & val) {
+  this->finished = val;
+}
 std::ostream& operator<<(std::ostream& out, const lease_request& obj)
 {
   obj.printTo(out);
@@ -3433,6 +3705,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->finished.clear();
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->finished.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
+            {
+              xfer += iprot->readI64(this->finished[_i133]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.finished = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3462,6 +3754,18 @@
   xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("finished", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->finished.size()));
+    std::vector<int64_t> ::const_iterator _iter134;
+    for (_iter134 = this->finished.begin(); _iter134 != this->finished.end(); ++_iter134)
+    {
+      xfer += oprot->writeI64((*_iter134));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3472,33 +3776,38 @@
   swap(a.request, b.request);
   swap(a.organisation, b.organisation);
   swap(a.tokens, b.tokens);
+  swap(a.finished, b.finished);
   swap(a.__isset, b.__isset);
 }
 
-lease_request::lease_request(const lease_request& other121) {
-  request = other121.request;
-  organisation = other121.organisation;
-  tokens = other121.tokens;
-  __isset = other121.__isset;
+lease_request::lease_request(const lease_request& other135) {
+  request = other135.request;
+  organisation = other135.organisation;
+  tokens = other135.tokens;
+  finished = other135.finished;
+  __isset = other135.__isset;
 }
-lease_request::lease_request(lease_request&& other122) noexcept {
-  request = other122.request;
-  organisation = std::move(other122.organisation);
-  tokens = other122.tokens;
-  __isset = other122.__isset;
+lease_request::lease_request(lease_request&& other136) noexcept {
+  request = other136.request;
+  organisation = std::move(other136.organisation);
+  tokens = other136.tokens;
+  finished = std::move(other136.finished);
+  __isset = other136.__isset;
 }
-lease_request& lease_request::operator=(const lease_request& other123) {
-  request = other123.request;
-  organisation = other123.organisation;
-  tokens = other123.tokens;
-  __isset = other123.__isset;
+lease_request& lease_request::operator=(const lease_request& other137) {
+  request = other137.request;
+  organisation = other137.organisation;
+  tokens = other137.tokens;
+  finished = other137.finished;
+  __isset = other137.__isset;
   return *this;
 }
-lease_request& lease_request::operator=(lease_request&& other124) noexcept {
-  request = other124.request;
-  organisation = std::move(other124.organisation);
-  tokens = other124.tokens;
-  __isset = other124.__isset;
+lease_request& lease_request::operator=(lease_request&& other138) noexcept {
+  request = other138.request;
+  organisation = std::move(other138.organisation);
+  tokens = other138.tokens;
+  finished = std::move(other138.finished);
+  __isset = other138.__isset;
   return *this;
 }
 void lease_request::printTo(std::ostream& out) const {
@@ -3507,6 +3816,7 @@
   out << "request=" << to_string(request);
   out << ", " << "organisation=" << to_string(organisation);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "finished=" << to_string(finished);
   out << ")";
 }
 
@@ -3523,6 +3833,10 @@
   this->organisation = val;
 }
 
+void lease_grant::__set_lease(const int64_t val) {
+  this->lease = val;
+}
+
 void lease_grant::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
@@ -3535,8 +3849,8 @@
   this->retry_after_ms = val;
 }
 
-void lease_grant::__set_owner(const bool val) {
-  this->owner = val;
+void lease_grant::__set_granting(const bool val) {
+  this->granting = val;
 }
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj)
 {
@@ -3583,6 +3897,14 @@
         }
         break;
       case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->tokens);
           this->__isset.tokens = true;
@@ -3590,7 +3912,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->valid_ms);
           this->__isset.valid_ms = true;
@@ -3598,7 +3920,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->retry_after_ms);
           this->__isset.retry_after_ms = true;
@@ -3606,10 +3928,10 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->owner);
-          this->__isset.owner = true;
+          xfer += iprot->readBool(this->granting);
+          this->__isset.granting = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3639,20 +3961,24 @@
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("valid_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("valid_ms", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->valid_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->retry_after_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->owner);
+  xfer += oprot->writeFieldBegin("granting", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->granting);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3664,49 +3990,54 @@
   using ::std::swap;
   swap(a.request, b.request);
   swap(a.organisation, b.organisation);
+  swap(a.lease, b.lease);
   swap(a.tokens, b.tokens);
   swap(a.valid_ms, b.valid_ms);
   swap(a.retry_after_ms, b.retry_after_ms);
-  swap(a.owner, b.owner);
+  swap(a.granting, b.granting);
   swap(a.__isset, b.__isset);
 }
 
-lease_grant::lease_grant(const lease_grant& other125) {
-  request = other125.request;
-  organisation = other125.organisation;
-  tokens = other125.tokens;
-  valid_ms = other125.valid_ms;
-  retry_after_ms = other125.retry_after_ms;
-  owner = other125.owner;
-  __isset = other125.__isset;
-}
-lease_grant::lease_grant(lease_grant&& other126) noexcept {
-  request = other126.request;
-  organisation = std::move(other126.organisation);
-  tokens = other126.tokens;
-  valid_ms = other126.valid_ms;
-  retry_after_ms = other126.retry_after_ms;
-  owner = other126.owner;
-  __isset = other126.__isset;
-}
-lease_grant& lease_grant::operator=(const lease_grant& other127) {
-  request = other127.request;
-  organisation = other127.organisation;
-  tokens = other127.tokens;
-  valid_ms = other127.valid_ms;
-  retry_after_ms = other127.retry_after_ms;
-  owner = other127.owner;
-  __isset = other127.__isset;
+lease_grant::lease_grant(const lease_grant& other139) {
+  request = other139.request;
+  organisation = other139.organisation;
+  lease = other139.lease;
+  tokens = other139.tokens;
+  valid_ms = other139.valid_ms;
+  retry_after_ms = other139.retry_after_ms;
+  granting = other139.granting;
+  __isset = other139.__isset;
+}
+lease_grant::lease_grant(lease_grant&& other140) noexcept {
+  request = other140.request;
+  organisation = std::move(other140.organisation);
+  lease = other140.lease;
+  tokens = other140.tokens;
+  valid_ms = other140.valid_ms;
+  retry_after_ms = other140.retry_after_ms;
+  granting = other140.granting;
+  __isset = other140.__isset;
+}
+lease_grant& lease_grant::operator=(const lease_grant& other141) {
+  request = other141.request;
+  organisation = other141.organisation;
+  lease = other141.lease;
+  tokens = other141.tokens;
+  valid_ms = other141.valid_ms;
+  retry_after_ms = other141.retry_after_ms;
+  granting = other141.granting;
+  __isset = other141.__isset;
   return *this;
 }
-lease_grant& lease_grant::operator=(lease_grant&& other128) noexcept {
-  request = other128.request;
-  organisation = std::move(other128.organisation);
-  tokens = other128.tokens;
-  valid_ms = other128.valid_ms;
-  retry_after_ms = other128.retry_after_ms;
-  owner = other128.owner;
-  __isset = other128.__isset;
+lease_grant& lease_grant::operator=(lease_grant&& other142) noexcept {
+  request = other142.request;
+  organisation = std::move(other142.organisation);
+  lease = other142.lease;
+  tokens = other142.tokens;
+  valid_ms = other142.valid_ms;
+  retry_after_ms = other142.retry_after_ms;
+  granting = other142.granting;
+  __isset = other142.__isset;
   return *this;
 }
 void lease_grant::printTo(std::ostream& out) const {
@@ -3714,10 +4045,11 @@
   out << "lease_grant(";
   out << "request=" << to_string(request);
   out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "lease=" << to_string(lease);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "valid_ms=" << to_string(valid_ms);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
-  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "granting=" << to_string(granting);
   out << ")";
 }
 
@@ -3730,6 +4062,10 @@
   this->organisation = val;
 }
 
+void lease_return::__set_lease(const int64_t val) {
+  this->lease = val;
+}
+
 void lease_return::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
@@ -3770,6 +4106,14 @@
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease);
+          this->__isset.lease = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->tokens);
           this->__isset.tokens = true;
@@ -3798,7 +4142,11 @@
   xfer += oprot->writeString(this->organisation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeFieldBegin("lease", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->lease);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
@@ -3810,36 +4158,42 @@
 void swap(lease_return &a, lease_return &b) {
   using ::std::swap;
   swap(a.organisation, b.organisation);
+  swap(a.lease, b.lease);
   swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
-lease_return::lease_return(const lease_return& other129) {
-  organisation = other129.organisation;
-  tokens = other129.tokens;
-  __isset = other129.__isset;
+lease_return::lease_return(const lease_return& other143) {
+  organisation = other143.organisation;
+  lease = other143.lease;
+  tokens = other143.tokens;
+  __isset = other143.__isset;
 }
-lease_return::lease_return(lease_return&& other130) noexcept {
-  organisation = std::move(other130.organisation);
-  tokens = other130.tokens;
-  __isset = other130.__isset;
+lease_return::lease_return(lease_return&& other144) noexcept {
+  organisation = std::move(other144.organisation);
+  lease = other144.lease;
+  tokens = other144.tokens;
+  __isset = other144.__isset;
 }
-lease_return& lease_return::operator=(const lease_return& other131) {
-  organisation = other131.organisation;
-  tokens = other131.tokens;
-  __isset = other131.__isset;
+lease_return& lease_return::operator=(const lease_return& other145) {
+  organisation = other145.organisation;
+  lease = other145.lease;
+  tokens = other145.tokens;
+  __isset = other145.__isset;
   return *this;
 }
-lease_return& lease_return::operator=(lease_return&& other132) noexcept {
-  organisation = std::move(other132.organisation);
-  tokens = other132.tokens;
-  __isset = other132.__isset;
+lease_return& lease_return::operator=(lease_return&& other146) noexcept {
+  organisation = std::move(other146.organisation);
+  lease = other146.lease;
+  tokens = other146.tokens;
+  __isset = other146.__isset;
   return *this;
 }
 void lease_return::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "lease_return(";
   out << "organisation=" << to_string(organisation);
+  out << ", " << "lease=" << to_string(lease);
   out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
@@ -3943,6 +4297,16 @@
   this->lease_return_ = val;
 __isset.lease_return_ = true;
 }
+
+void frame::__set_view_question_(const view_question& val) {
+  this->view_question_ = val;
+__isset.view_question_ = true;
+}
+
+void frame::__set_view_answer_(const view_answer& val) {
+  this->view_answer_ = val;
+__isset.view_answer_ = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -4123,6 +4487,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->view_question_.read(iprot);
+          this->__isset.view_question_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->view_answer_.read(iprot);
+          this->__isset.view_answer_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4235,6 +4615,16 @@
     xfer += this->lease_return_.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.view_question_) {
+    xfer += oprot->writeFieldBegin("view_question_", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->view_question_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.view_answer_) {
+    xfer += oprot->writeFieldBegin("view_answer_", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->view_answer_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4261,97 +4651,107 @@
   swap(a.lease_request_, b.lease_request_);
   swap(a.lease_grant_, b.lease_grant_);
   swap(a.lease_return_, b.lease_return_);
+  swap(a.view_question_, b.view_question_);
+  swap(a.view_answer_, b.view_answer_);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other133) {
-  hello_ = other133.hello_;
-  welcome_ = other133.welcome_;
-  begin_ = other133.begin_;
-  body_ = other133.body_;
-  credit_ = other133.credit_;
-  cancel_ = other133.cancel_;
-  head_ = other133.head_;
-  refused_ = other133.refused_;
-  failed_ = other133.failed_;
-  resolve_ = other133.resolve_;
-  resolution_ = other133.resolution_;
-  ping_ = other133.ping_;
-  pong_ = other133.pong_;
-  drain_ = other133.drain_;
-  pull_ = other133.pull_;
-  update_ = other133.update_;
-  lease_request_ = other133.lease_request_;
-  lease_grant_ = other133.lease_grant_;
-  lease_return_ = other133.lease_return_;
-  __isset = other133.__isset;
-}
-frame::frame(frame&& other134) noexcept {
-  hello_ = std::move(other134.hello_);
-  welcome_ = std::move(other134.welcome_);
-  begin_ = std::move(other134.begin_);
-  body_ = std::move(other134.body_);
-  credit_ = std::move(other134.credit_);
-  cancel_ = std::move(other134.cancel_);
-  head_ = std::move(other134.head_);
-  refused_ = std::move(other134.refused_);
-  failed_ = std::move(other134.failed_);
-  resolve_ = std::move(other134.resolve_);
-  resolution_ = std::move(other134.resolution_);
-  ping_ = std::move(other134.ping_);
-  pong_ = std::move(other134.pong_);
-  drain_ = std::move(other134.drain_);
-  pull_ = std::move(other134.pull_);
-  update_ = std::move(other134.update_);
-  lease_request_ = std::move(other134.lease_request_);
-  lease_grant_ = std::move(other134.lease_grant_);
-  lease_return_ = std::move(other134.lease_return_);
-  __isset = other134.__isset;
-}
-frame& frame::operator=(const frame& other135) {
-  hello_ = other135.hello_;
-  welcome_ = other135.welcome_;
-  begin_ = other135.begin_;
-  body_ = other135.body_;
-  credit_ = other135.credit_;
-  cancel_ = other135.cancel_;
-  head_ = other135.head_;
-  refused_ = other135.refused_;
-  failed_ = other135.failed_;
-  resolve_ = other135.resolve_;
-  resolution_ = other135.resolution_;
-  ping_ = other135.ping_;
-  pong_ = other135.pong_;
-  drain_ = other135.drain_;
-  pull_ = other135.pull_;
-  update_ = other135.update_;
-  lease_request_ = other135.lease_request_;
-  lease_grant_ = other135.lease_grant_;
-  lease_return_ = other135.lease_return_;
-  __isset = other135.__isset;
+frame::frame(const frame& other147) {
+  hello_ = other147.hello_;
+  welcome_ = other147.welcome_;
+  begin_ = other147.begin_;
+  body_ = other147.body_;
+  credit_ = other147.credit_;
+  cancel_ = other147.cancel_;
+  head_ = other147.head_;
+  refused_ = other147.refused_;
+  failed_ = other147.failed_;
+  resolve_ = other147.resolve_;
+  resolution_ = other147.resolution_;
+  ping_ = other147.ping_;
+  pong_ = other147.pong_;
+  drain_ = other147.drain_;
+  pull_ = other147.pull_;
+  update_ = other147.update_;
+  lease_request_ = other147.lease_request_;
+  lease_grant_ = other147.lease_grant_;
+  lease_return_ = other147.lease_return_;
+  view_question_ = other147.view_question_;
+  view_answer_ = other147.view_answer_;
+  __isset = other147.__isset;
+}
+frame::frame(frame&& other148) noexcept {
+  hello_ = std::move(other148.hello_);
+  welcome_ = std::move(other148.welcome_);
+  begin_ = std::move(other148.begin_);
+  body_ = std::move(other148.body_);
+  credit_ = std::move(other148.credit_);
+  cancel_ = std::move(other148.cancel_);
+  head_ = std::move(other148.head_);
+  refused_ = std::move(other148.refused_);
+  failed_ = std::move(other148.failed_);
+  resolve_ = std::move(other148.resolve_);
+  resolution_ = std::move(other148.resolution_);
+  ping_ = std::move(other148.ping_);
+  pong_ = std::move(other148.pong_);
+  drain_ = std::move(other148.drain_);
+  pull_ = std::move(other148.pull_);
+  update_ = std::move(other148.update_);
+  lease_request_ = std::move(other148.lease_request_);
+  lease_grant_ = std::move(other148.lease_grant_);
+  lease_return_ = std::move(other148.lease_return_);
+  view_question_ = std::move(other148.view_question_);
+  view_answer_ = std::move(other148.view_answer_);
+  __isset = other148.__isset;
+}
+frame& frame::operator=(const frame& other149) {
+  hello_ = other149.hello_;
+  welcome_ = other149.welcome_;
+  begin_ = other149.begin_;
+  body_ = other149.body_;
+  credit_ = other149.credit_;
+  cancel_ = other149.cancel_;
+  head_ = other149.head_;
+  refused_ = other149.refused_;
+  failed_ = other149.failed_;
+  resolve_ = other149.resolve_;
+  resolution_ = other149.resolution_;
+  ping_ = other149.ping_;
+  pong_ = other149.pong_;
+  drain_ = other149.drain_;
+  pull_ = other149.pull_;
+  update_ = other149.update_;
+  lease_request_ = other149.lease_request_;
+  lease_grant_ = other149.lease_grant_;
+  lease_return_ = other149.lease_return_;
+  view_question_ = other149.view_question_;
+  view_answer_ = other149.view_answer_;
+  __isset = other149.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other136) noexcept {
-  hello_ = std::move(other136.hello_);
-  welcome_ = std::move(other136.welcome_);
-  begin_ = std::move(other136.begin_);
-  body_ = std::move(other136.body_);
-  credit_ = std::move(other136.credit_);
-  cancel_ = std::move(other136.cancel_);
-  head_ = std::move(other136.head_);
-  refused_ = std::move(other136.refused_);
-  failed_ = std::move(other136.failed_);
-  resolve_ = std::move(other136.resolve_);
-  resolution_ = std::move(other136.resolution_);
-  ping_ = std::move(other136.ping_);
-  pong_ = std::move(other136.pong_);
-  drain_ = std::move(other136.drain_);
-  pull_ = std::move(other136.pull_);
-  update_ = std::move(other136.update_);
-  lease_request_ = std::move(other136.lease_request_);
-  lease_grant_ = std::move(other136.lease_grant_);
-  lease_return_ = std::move(other136.lease_return_);
-  __isset = other136.__isset;
+frame& frame::operator=(frame&& other150) noexcept {
+  hello_ = std::move(other150.hello_);
+  welcome_ = std::move(other150.welcome_);
+  begin_ = std::move(other150.begin_);
+  body_ = std::move(other150.body_);
+  credit_ = std::move(other150.credit_);
+  cancel_ = std::move(other150.cancel_);
+  head_ = std::move(other150.head_);
+  refused_ = std::move(other150.refused_);
+  failed_ = std::move(other150.failed_);
+  resolve_ = std::move(other150.resolve_);
+  resolution_ = std::move(other150.resolution_);
+  ping_ = std::move(other150.ping_);
+  pong_ = std::move(other150.pong_);
+  drain_ = std::move(other150.drain_);
+  pull_ = std::move(other150.pull_);
+  update_ = std::move(other150.update_);
+  lease_request_ = std::move(other150.lease_request_);
+  lease_grant_ = std::move(other150.lease_grant_);
+  lease_return_ = std::move(other150.lease_return_);
+  view_question_ = std::move(other150.view_question_);
+  view_answer_ = std::move(other150.view_answer_);
+  __isset = other150.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -4376,6 +4776,8 @@
   out << ", " << "lease_request_="; (__isset.lease_request_ ? (out << to_string(lease_request_)) : (out << "<null>"));
   out << ", " << "lease_grant_="; (__isset.lease_grant_ ? (out << to_string(lease_grant_)) : (out << "<null>"));
   out << ", " << "lease_return_="; (__isset.lease_return_ ? (out << to_string(lease_return_)) : (out << "<null>"));
+  out << ", " << "view_question_="; (__isset.view_question_ ? (out << to_string(view_question_)) : (out << "<null>"));
+  out << ", " << "view_answer_="; (__isset.view_answer_ ? (out << to_string(view_answer_)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -118,6 +118,10 @@
 
 class config_update;
 
+class view_question;
+
+class view_answer;
+
 class lease_request;
 
 class lease_grant;
@@ -1288,13 +1292,14 @@
 std::ostream& operator<<(std::ostream& out, const config_pull& obj);
 
 typedef struct _config_update__isset {
-  _config_update__isset() : value(false), base(false), version(false), removed(false), added(false), digest(false) {}
+  _config_update__isset() : value(false), base(false), version(false), removed(false), added(false), digest(false), origin(false) {}
   bool value :1;
   bool base :1;
   bool version :1;
   bool removed :1;
   bool added :1;
   bool digest :1;
+  bool origin :1;
 } _config_update__isset;
 
 class config_update : public virtual ::apache::thrift::TBase {
@@ -1308,7 +1313,8 @@
                 : value(static_cast<config_value>(0)),
                   base(0),
                   version(0),
-                  digest(0) {
+                  digest(0),
+                  origin() {
   }
 
   virtual ~config_update() noexcept;
@@ -1322,6 +1328,7 @@
   std::vector<std::string>  removed;
   std::vector<std::string>  added;
   int64_t digest;
+  std::string origin;
 
   _config_update__isset __isset;
 
@@ -1337,6 +1344,8 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_origin(const std::string& val);
+
   bool operator == (const config_update & rhs) const
   {
     if (!(value == rhs.value))
@@ -1351,6 +1360,8 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (!(origin == rhs.origin))
+      return false;
     return true;
   }
   bool operator != (const config_update &rhs) const {
@@ -1369,11 +1380,114 @@
 
 std::ostream& operator<<(std::ostream& out, const config_update& obj);
 
+typedef struct _view_question__isset {
+  _view_question__isset() : nonce(false), versions(false) {}
+  bool nonce :1;
+  bool versions :1;
+} _view_question__isset;
+
+class view_question : public virtual ::apache::thrift::TBase {
+ public:
+
+  view_question(const view_question&) noexcept;
+  view_question(view_question&&) noexcept;
+  view_question& operator=(const view_question&) noexcept;
+  view_question& operator=(view_question&&) noexcept;
+  view_question() noexcept
+                : nonce(0) {
+  }
+
+  virtual ~view_question() noexcept;
+  int64_t nonce;
+  config_versions versions;
+
+  _view_question__isset __isset;
+
+  void __set_nonce(const int64_t val);
+
+  void __set_versions(const config_versions& val);
+
+  bool operator == (const view_question & rhs) const
+  {
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(versions == rhs.versions))
+      return false;
+    return true;
+  }
+  bool operator != (const view_question &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const view_question & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(view_question &a, view_question &b);
+
+std::ostream& operator<<(std::ostream& out, const view_question& obj);
+
+typedef struct _view_answer__isset {
+  _view_answer__isset() : nonce(false), versions(false) {}
+  bool nonce :1;
+  bool versions :1;
+} _view_answer__isset;
+
+class view_answer : public virtual ::apache::thrift::TBase {
+ public:
+
+  view_answer(const view_answer&) noexcept;
+  view_answer(view_answer&&) noexcept;
+  view_answer& operator=(const view_answer&) noexcept;
+  view_answer& operator=(view_answer&&) noexcept;
+  view_answer() noexcept
+              : nonce(0) {
+  }
+
+  virtual ~view_answer() noexcept;
+  int64_t nonce;
+  config_versions versions;
+
+  _view_answer__isset __isset;
+
+  void __set_nonce(const int64_t val);
+
+  void __set_versions(const config_versions& val);
+
+  bool operator == (const view_answer & rhs) const
+  {
+    if (!(nonce == rhs.nonce))
+      return false;
+    if (!(versions == rhs.versions))
+      return false;
+    return true;
+  }
+  bool operator != (const view_answer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const view_answer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(view_answer &a, view_answer &b);
+
+std::ostream& operator<<(std::ostream& out, const view_answer& obj);
+
 typedef struct _lease_request__isset {
-  _lease_request__isset() : request(false), organisation(false), tokens(false) {}
+  _lease_request__isset() : request(false), organisation(false), tokens(false), finished(false) {}
   bool request :1;
   bool organisation :1;
   bool tokens :1;
+  bool finished :1;
 } _lease_request__isset;
 
 class lease_request : public virtual ::apache::thrift::TBase {
@@ -1393,6 +1507,7 @@
   int64_t request;
   std::string organisation;
   int32_t tokens;
+  std::vector<int64_t>  finished;
 
   _lease_request__isset __isset;
 
@@ -1402,6 +1517,8 @@
 
   void __set_tokens(const int32_t val);
 
+  void __set_finished(const std::vector<int64_t> & val);
+
   bool operator == (const lease_request & rhs) const
   {
     if (!(request == rhs.request))
@@ -1410,6 +1527,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(finished == rhs.finished))
+      return false;
     return true;
   }
   bool operator != (const lease_request &rhs) const {
@@ -1429,13 +1548,14 @@
 std::ostream& operator<<(std::ostream& out, const lease_request& obj);
 
 typedef struct _lease_grant__isset {
-  _lease_grant__isset() : request(false), organisation(false), tokens(false), valid_ms(false), retry_after_ms(false), owner(false) {}
+  _lease_grant__isset() : request(false), organisation(false), lease(false), tokens(false), valid_ms(false), retry_after_ms(false), granting(false) {}
   bool request :1;
   bool organisation :1;
+  bool lease :1;
   bool tokens :1;
   bool valid_ms :1;
   bool retry_after_ms :1;
-  bool owner :1;
+  bool granting :1;
 } _lease_grant__isset;
 
 class lease_grant : public virtual ::apache::thrift::TBase {
@@ -1448,19 +1568,21 @@
   lease_grant() noexcept
               : request(0),
                 organisation(),
+                lease(0),
                 tokens(0),
                 valid_ms(0),
                 retry_after_ms(0),
-                owner(0) {
+                granting(0) {
   }
 
   virtual ~lease_grant() noexcept;
   int64_t request;
   std::string organisation;
+  int64_t lease;
   int32_t tokens;
   int32_t valid_ms;
   int32_t retry_after_ms;
-  bool owner;
+  bool granting;
 
   _lease_grant__isset __isset;
 
@@ -1468,13 +1590,15 @@
 
   void __set_organisation(const std::string& val);
 
+  void __set_lease(const int64_t val);
+
   void __set_tokens(const int32_t val);
 
   void __set_valid_ms(const int32_t val);
 
   void __set_retry_after_ms(const int32_t val);
 
-  void __set_owner(const bool val);
+  void __set_granting(const bool val);
 
   bool operator == (const lease_grant & rhs) const
   {
@@ -1482,13 +1606,15 @@
       return false;
     if (!(organisation == rhs.organisation))
       return false;
+    if (!(lease == rhs.lease))
+      return false;
     if (!(tokens == rhs.tokens))
       return false;
     if (!(valid_ms == rhs.valid_ms))
       return false;
     if (!(retry_after_ms == rhs.retry_after_ms))
       return false;
-    if (!(owner == rhs.owner))
+    if (!(granting == rhs.granting))
       return false;
     return true;
   }
@@ -1509,8 +1635,9 @@
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj);
 
 typedef struct _lease_return__isset {
-  _lease_return__isset() : organisation(false), tokens(false) {}
+  _lease_return__isset() : organisation(false), lease(false), tokens(false) {}
   bool organisation :1;
+  bool lease :1;
   bool tokens :1;
 } _lease_return__isset;
 
@@ -1523,23 +1650,29 @@
   lease_return& operator=(lease_return&&) noexcept;
   lease_return() noexcept
                : organisation(),
+                 lease(0),
                  tokens(0) {
   }
 
   virtual ~lease_return() noexcept;
   std::string organisation;
+  int64_t lease;
   int32_t tokens;
 
   _lease_return__isset __isset;
 
   void __set_organisation(const std::string& val);
 
+  void __set_lease(const int64_t val);
+
   void __set_tokens(const int32_t val);
 
   bool operator == (const lease_return & rhs) const
   {
     if (!(organisation == rhs.organisation))
       return false;
+    if (!(lease == rhs.lease))
+      return false;
     if (!(tokens == rhs.tokens))
       return false;
     return true;
@@ -1561,7 +1694,7 @@
 std::ostream& operator<<(std::ostream& out, const lease_return& obj);
 
 typedef struct _frame__isset {
-  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), lease_return_(false) {}
+  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), lease_return_(false), view_question_(false), view_answer_(false) {}
   bool hello_ :1;
   bool welcome_ :1;
   bool begin_ :1;
@@ -1581,6 +1714,8 @@
   bool lease_request_ :1;
   bool lease_grant_ :1;
   bool lease_return_ :1;
+  bool view_question_ :1;
+  bool view_answer_ :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1613,6 +1748,8 @@
   lease_request lease_request_;
   lease_grant lease_grant_;
   lease_return lease_return_;
+  view_question view_question_;
+  view_answer view_answer_;
 
   _frame__isset __isset;
 
@@ -1654,6 +1791,10 @@
 
   void __set_lease_return_(const lease_return& val);
 
+  void __set_view_question_(const view_question& val);
+
+  void __set_view_answer_(const view_answer& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_ != rhs.__isset.hello_)
@@ -1732,6 +1873,14 @@
       return false;
     else if (__isset.lease_return_ && !(lease_return_ == rhs.lease_return_))
       return false;
+    if (__isset.view_question_ != rhs.__isset.view_question_)
+      return false;
+    else if (__isset.view_question_ && !(view_question_ == rhs.view_question_))
+      return false;
+    if (__isset.view_answer_ != rhs.__isset.view_answer_)
+      return false;
+    else if (__isset.view_answer_ && !(view_answer_ == rhs.view_answer_))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/tests/attempt_fuzz_test.cpp
+++ b/tests/attempt_fuzz_test.cpp
@@ -295,7 +295,7 @@
 }  // namespace
 
 TEST_CASE("no order of events runs an attempt twice or after 'not run'", "[attempt][fuzz]") {
-    CHECK(first_fault({}) == "");
+    CHECK_THAT(first_fault({}), Catch::Equals(""));
 }
 
 TEST_CASE("each rule of the ledger is needed", "[attempt][fuzz]") {
@@ -308,6 +308,6 @@
         ledger_rules rules;
         rules.*left_out.rule_ = false;
         INFO("without the rule " << left_out.name_);
-        CHECK(first_fault(rules) != "");
+        CHECK_THAT(first_fault(rules), !Catch::Equals(""));
     }
 }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -29,7 +29,7 @@
         at.sin_family = AF_INET;
         at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof(at);
-        bind(listener_, reinterpret_cast<sockaddr*>(&at), length);
+        REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&at), length) == 0);
         listen(listener_, 1);
         getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &length);
         address_ = {"127.0.0.1", ntohs(at.sin_port)};
--- /dev/null
+++ b/tests/process_configuration_test.cpp
@@ -0,0 +1,101 @@
+// An accepted configuration is in force everywhere and never reverts.
+#include <catch2/catch.hpp>
+
+#include "support/plans.h"
+
+using namespace dandelionridge::support;
+
+namespace {
+
+constexpr const char* rules_version = "/configuration/rules/version";
+
+bool in_force(const fleet& fleet, std::int64_t version) {
+    for (const std::string& host : fleet.host_names()) {
+        if (fleet.status_number(host, rules_version) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+fleet_plan five_hosts_a_zone() {
+    std::vector<std::string> zones;
+    for (const char* zone : {"z1", "z2"}) {
+        zones.insert(zones.end(), 5, zone);
+    }
+    return orders_plan(zones, {"h2"}, "slots=5");
+}
+
+int readers(const fleet& fleet) {
+    int count = 0;
+    for (const std::string& host : fleet.host_names()) {
+        const std::string status = fleet.admin(host, "/status");
+        count += status.find("\"reads_platform\": true") != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
+}  // namespace
+
+TEST_CASE("a version reaches every host through few readers", "[promise-configuration]") {
+    fleet fleet(five_hosts_a_zone());
+    fleet.start_all();
+    CHECK(wait_for([&] { return readers(fleet) == 6; }));
+    std::vector<std::string> rules = fleet.rules();
+    for (int version = 2; version <= 5; ++version) {
+        rules.push_back("organisation o" + std::to_string(version) +
+                        " rate=1/s burst=1 # the test");
+        fleet.publish_rules(rules);
+        CHECK(wait_for([&] { return in_force(fleet, version); }));
+    }
+}
+
+TEST_CASE("a stale platform and restarts never take a version back", "[promise-configuration]") {
+    fleet fleet(five_hosts_a_zone());
+    fleet.start_all();
+    const std::vector<std::string> old_rules = fleet.rules();
+    std::vector<std::string> rules = old_rules;
+    rules.push_back("organisation late rate=1/s burst=1 # the test");
+    fleet.publish_rules(rules);
+    REQUIRE(wait_for([&] { return in_force(fleet, 2); }));
+    fleet.platform().publish_stale("rules", 1, old_rules);
+    for (const char* host : {"h1", "h2", "h7"}) {
+        fleet.kill(host);
+        fleet.start(host);
+        CHECK(wait_for([&] { return fleet.status_number(host, rules_version) == 2; }));
+    }
+    CHECK(in_force(fleet, 2));
+}
+
+TEST_CASE("a version that breaks the grammar leaves the last one in force",
+          "[promise-configuration]") {
+    fleet fleet(orders_plan({"z1", "z1"}, {"h2"}, "slots=5"));
+    fleet.start_all();
+    std::vector<std::string> rules = fleet.rules();
+    rules.push_back("organisation nobody rate=1/s burst=1");
+    fleet.publish_rules(rules);
+    CHECK(wait_for([&] {
+        return fleet.admin("h1", "/status").find("names nobody") != std::string::npos ||
+               fleet.admin("h2", "/status").find("names nobody") != std::string::npos;
+    }));
+    CHECK(in_force(fleet, 1));
+    caller caller;
+    CHECK(caller.send(order(fleet, "h1", "a", "POST")).status_ == 200);
+    rules.back() += " # the test";
+    fleet.publish_rules(rules);
+    CHECK(wait_for([&] { return in_force(fleet, 3); }));
+}
+
+TEST_CASE("service goes on while the platform is away", "[promise-configuration]") {
+    fleet_plan plan = five_hosts_a_zone();
+    plan.extra_settings_ = "freshness_bound = 2s\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.platform().set_away(true);
+    // Longer than any confirmation by the platform is believed.
+    REQUIRE(wait_for([&] { return fleet.status_number("h1", "/confirmed_age_ms") > 4000; }));
+    caller caller;
+    for (int i = 0; i < 20; ++i) {
+        CHECK(caller.send(order(fleet, "h1", "p" + std::to_string(i), "POST")).status_ == 200);
+    }
+}
--- a/tests/process_key_test.cpp
+++ b/tests/process_key_test.cpp
@@ -84,7 +84,7 @@
 
 TEST_CASE("an entry cut off from all refuses keyed routes and says so", "[promise-key]") {
     fleet_plan plan = orders_plan({"z1"}, {"h1"}, "slots=5 timeout=5s");
-    plan.extra_settings_ = "[times]\nfreshness_bound = 1s\nwatch_wait = 300ms\n";
+    plan.extra_settings_ = "freshness_bound = 1s\nwatch_wait = 300ms\n";
     plan.rules_.push_back("service page # the test");
     plan.rules_.push_back("route page match=*/page service=page access=open # the test");
     plan.targets_.push_back({"p1", "page", "h1"});
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -54,8 +54,12 @@
 
     // Ends a host's process without warning.
     void kill(const std::string& host);
+    // Starts all hosts and waits until they grant quota.
     void start_all();
 
+    // True if a host grants its shares of quota.
+    bool grants_quota(const std::string& host) const;
+
     process& host(const std::string& name) { return *processes_.at(name); }
     target_stub& target(const std::string& name) { return *targets_.at(name); }
     platform_stub& platform() { return *platform_; }
