Serve only after levelling the configuration with peers

Cause: a host restarted while the platform was stale served with the old version until its first gossip round: process_configuration_test failed with version 1 in force instead of 2 (4 assertions). Change: a process serves once it has both values and has heard more than half of its zone and one host elsewhere, or 2 s have passed in vain; the first questions go out at once.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -14,6 +14,8 @@
 constexpr base::duration question_memory = base::seconds(10);
 // Without a confirmation for this long, a host that is no reader reads for itself.
 constexpr base::duration reading_fallback = base::seconds(6);
+// Longest time that a process with a configuration waits for others before it serves.
+constexpr base::duration settle_patience = base::seconds(2);
 constexpr std::int64_t longest_age_ms = 1'000'000'000;
 
 value_kind to_kind(wire::config_value value) {
@@ -47,6 +49,9 @@
         }
     }
     policy::set_members(view_, configuration_.version(value_kind::hosts), std::move(members));
+    if (!settled_) {
+        next_round_ = {};
+    }
 }
 
 wire::config_versions gossip::versions() const {
@@ -72,6 +77,22 @@
            configuration_.confirmed_age(clock_.now()) > reading_fallback;
 }
 
+bool gossip::settled() {
+    const base::instant now = clock_.now();
+    if (settled_ || !configuration_.ready()) {
+        return settled_;
+    }
+    if (!ready_at_) {
+        ready_at_ = now;
+    }
+    const bool heard_zone = policy::majority_heard(view_, now) > base::instant{};
+    const bool heard = heard_zone && (heard_elsewhere_ || elsewhere_.empty());
+    const bool behind = newest_rules_seen_ > configuration_.version(value_kind::rules) ||
+                        view_.newest_seen_ > configuration_.version(value_kind::hosts);
+    settled_ = (heard && !behind) || now - *ready_at_ > settle_patience;
+    return settled_;
+}
+
 void gossip::tick() {
     const base::instant now = clock_.now();
     if (now < next_round_) {
@@ -118,12 +139,16 @@
     questions_.erase(found);
     policy::note_exchange(view_, peer, {asked_at, answer.versions.hosts});
     // The peer's confirmation is at least as recent as its age before the question.
+    const bool in_zone =
+        std::find(view_.members_.begin(), view_.members_.end(), peer) != view_.members_.end();
+    heard_elsewhere_ = heard_elsewhere_ || !in_zone;
     configuration_.confirm(asked_at - base::milliseconds(answer.versions.confirmed_age_ms));
     on_versions(peer, answer.versions);
 }
 
 void gossip::on_versions(const std::string& peer, const wire::config_versions& seen) {
     policy::note_version(view_, seen.hosts);
+    newest_rules_seen_ = std::max(newest_rules_seen_, seen.rules);
     pull_if_behind(peer, value_kind::rules, seen.rules);
     pull_if_behind(peer, value_kind::hosts, seen.hosts);
 }
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,11 @@
 
     const policy::zone_view& view() const { return view_; }
 
+    // True once this process may serve: it has both values, and has levelled them with more than
+    // half of its zone and with a host elsewhere, or has waited in vain for them. A platform that
+    // is stale can then take back nothing that others have in force.
+    bool settled();
+
     // Age of what this process knows to be current: confirmed by the platform, or by more than half
     // of its zone.
     base::duration freshness_age() const;
@@ -84,6 +90,11 @@
     std::unordered_map<std::int64_t, open_question> questions_;
     std::int64_t next_nonce_ = 1;
     base::instant next_round_{};
+    // When both values were first at hand.
+    std::optional<base::instant> ready_at_;
+    std::int64_t newest_rules_seen_ = 0;
+    bool heard_elsewhere_ = false;
+    bool settled_ = false;
     base::instant pulled_at_[2] = {};
 };
 
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -69,7 +69,7 @@
             {status_unavailable, filter::outcome::not_run, filter::reason::stopping, short_retry});
         return;
     }
-    if (!owner_.configuration_.ready()) {
+    if (!owner_.identity_.settled_()) {
         refuse(
             {status_unavailable, filter::outcome::not_run, filter::reason::starting, short_retry});
         return;
--- a/src/node/guard_link.h
+++ b/src/node/guard_link.h
@@ -49,6 +49,8 @@
     std::string host_;
     std::string zone_;
     std::function<wire::config_versions()> versions_;
+    // True once this process may serve.
+    std::function<bool()> settled_;
     // Age of the newest evidence that the configuration in force here is current.
     std::function<base::duration()> freshness_age_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,8 +53,12 @@
 node::node(const base::runtime_clock& clock, config::settings settings)
     : clock_(clock),
       settings_(std::move(settings)),
-      identity_{draw_boot_id(), settings_.host_, settings_.zone_,
-                [this] { return gossip_.versions(); }, [this] { return gossip_.freshness_age(); }},
+      identity_{draw_boot_id(),
+                settings_.host_,
+                settings_.zone_,
+                [this] { return gossip_.versions(); },
+                [this] { return gossip_.settled(); },
+                [this] { return gossip_.freshness_age(); }},
       events_({settings_.host_, settings_.zone_, identity_.boot_}),
       gossip_(clock, configuration_, *this,
               {settings_.host_, settings_.zone_, settings_.view_bound_ / questions_a_view}),
@@ -291,7 +295,7 @@
         return render_metrics();
     }
     if (path == "/healthz") {
-        const bool serving = configuration_.ready() && !draining_;
+        const bool serving = identity_.settled_() && !draining_;
         status = serving ? status_ok : status_unavailable;
         return serving ? "serving\n" : "not serving\n";
     }
--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -62,7 +62,8 @@
     for (const char* host : {"h1", "h2", "h7"}) {
         fleet.kill(host);
         fleet.start(host);
-        CHECK(wait_for([&] { return fleet.status_number(host, rules_version) == 2; }));
+        // A host that says that it serves has asked others: it is level with them.
+        CHECK(fleet.status_number(host, rules_version) == 2);
     }
     CHECK(in_force(fleet, 2));
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -130,10 +130,18 @@
 }
 
 void fleet::start(const std::string& host) {
+    launch(host);
+    wait_until_serving(host);
+}
+
+void fleet::launch(const std::string& host) {
     const std::string settings = write_settings(host, zone_of(host));
     processes_[host] = std::make_unique<process>(
         std::vector<std::string>{program(), "serve", "--config", settings},
         folder_ + "/" + host + ".log");
+}
+
+void fleet::wait_until_serving(const std::string& host) const {
     if (!wait_for([&] { return admin(host, "/healthz") == "serving\n"; })) {
         throw std::runtime_error("host " + host + " does not serve: " + log_of(host));
     }
@@ -146,9 +154,10 @@
 
 void fleet::start_all() {
     for (const std::string& host : host_names()) {
-        start(host);
+        launch(host);
     }
     for (const std::string& host : host_names()) {
+        wait_until_serving(host);
         if (!wait_for([&] { return grants_quota(host); })) {
             throw std::runtime_error("host " + host + " grants no quota: " + log_of(host));
         }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -93,6 +93,8 @@
     std::string log_of(const std::string& host) const;
 
 private:
+    void launch(const std::string& host);
+    void wait_until_serving(const std::string& host) const;
     std::string ip(std::size_t number) const;
     std::string ip_of(const std::string& host) const;
     std::string write_settings(const std::string& host, const std::string& zone) const;
