Wake the loop by one timer descriptor; measure the path

A trace of system calls shows the loop calling poll with a timeout of 0 through the last millisecond before each library timer; with a tick of 20 ms that is a twentieth of a core, and it competes with the requests. Change: timers in one ordered map behind one timerfd. Ruled out: longer ticks, which only make the spinning rarer.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 PACKAGES := cmake ninja-build g++ pkg-config clang-format clang-tidy \
 	libwebsockets-dev libthrift-dev libboost-dev libpopt-dev libgoogle-glog-dev \
 	libexpected-dev catch2 libinih-dev libxxhash-dev nlohmann-json3-dev libssl-dev \
-	libcurl4-openssl-dev libbenchmark-dev spin
+	libcurl4-openssl-dev spin gcc
 SOURCES := $(shell git ls-files --cached --others --exclude-standard -- \
 	'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' 'bench/*.h' \
 	'tools/*.cpp' 'tools/*.h' 'fuzz/*.cpp' ':!src/wire/gen')
 
-.PHONY: deps build demo test format-check format lint unit model generate
+.PHONY: deps build demo test format-check format lint unit model bench slopes generate
 
 deps:
 	@dpkg -s $(PACKAGES) > /dev/null 2>&1 || \
@@ -41,6 +41,14 @@
 model: deps
 	tools/run-models
 
+# Latency, processor time and memory of the path. Not a test.
+bench: build
+	$(BUILD)/bench_path
+
+# State, messages and time against size, for docs/CAPACITY.md. Not a test.
+slopes: build
+	$(BUILD)/bench_slopes
+
 # Regenerates the committed code of the messages between processes.
 generate:
 	thrift --gen cpp:pure_enums=enum_class,moveable_types,no_skeleton -out src/wire/gen \
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,5 +1,9 @@
 #include "net/event_loop.h"
 
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -14,15 +18,18 @@
 constexpr unsigned int library_timeout_s = 3600;
 constexpr unsigned int file_limit = 8192;
 
-lws_usec_t to_usec(base::duration value) {
-    return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+itimerspec to_itimerspec(base::duration value) {
+    const auto nanoseconds = std::max<std::int64_t>(1, value.count());
+    constexpr std::int64_t second = 1'000'000'000;
+    itimerspec spec{};
+    spec.it_value.tv_sec = nanoseconds / second;
+    spec.it_value.tv_nsec = nanoseconds % second;
+    return spec;
 }
 
 }  // namespace
 
-event_loop::event_loop(const base::runtime_clock& clock) : clock_(clock), last_beat_(clock.now()) {
-    heartbeat_.loop_ = this;
-}
+event_loop::event_loop(const base::runtime_clock& clock) : clock_(clock), last_beat_(clock.now()) {}
 
 base::result<std::unique_ptr<event_loop>> event_loop::create(const base::runtime_clock& clock) {
     std::signal(SIGPIPE, SIG_IGN);
@@ -51,13 +58,18 @@
         return base::fail(base::error_kind::system,
                           "no client side could be made; free some memory and start again");
     }
-    on_heartbeat(&loop->heartbeat_.timer_);
+    if (!loop->open_alarm()) {
+        return base::fail(base::error_kind::system,
+                          "no timer could be made; raise the limit of open files (ulimit -n)");
+    }
+    loop->heartbeat_ = std::make_unique<timer>(*loop);
+    loop->beat();
     return loop;
 }
 
 event_loop::~event_loop() {
     if (context_ != nullptr) {
-        lws_sul_cancel(&heartbeat_.timer_);
+        heartbeat_.reset();
         lws_context_destroy(context_);
     }
 }
@@ -117,37 +129,77 @@
     return pauses_;
 }
 
-void event_loop::on_heartbeat(lws_sorted_usec_list_t* timer) {
-    auto* beat = reinterpret_cast<heartbeat*>(timer);
-    event_loop& loop = *beat->loop_;
-    loop.pause_count();
-    loop.last_beat_ = loop.clock_.now();
-    lws_sul_schedule(loop.context_, 0, timer, &event_loop::on_heartbeat,
-                     to_usec(heartbeat_interval));
+void event_loop::beat() {
+    pause_count();
+    last_beat_ = clock_.now();
+    heartbeat_->start(heartbeat_interval, [this] { beat(); });
+}
+
+// The library closes the descriptor with its context.
+bool event_loop::open_alarm() {
+    alarm_ = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+    if (alarm_ < 0) {
+        return false;
+    }
+    lws_sock_file_fd_type file{};
+    file.filefd = alarm_;
+    return lws_adopt_descriptor_vhost(client_vhost_, LWS_ADOPT_RAW_FILE_DESC, file, alarm_protocol,
+                                      nullptr) != nullptr;
+}
+
+void event_loop::set_alarm() {
+    if (timers_.empty() || timers_.begin()->first == alarm_at_) {
+        return;
+    }
+    alarm_at_ = timers_.begin()->first;
+    const itimerspec spec = to_itimerspec(alarm_at_ - clock_.now());
+    timerfd_settime(alarm_, 0, &spec, nullptr);
 }
 
-timer::timer(event_loop& loop) : loop_(loop) {
-    slot_.owner_ = this;
+void event_loop::on_alarm() {
+    std::uint64_t count = 0;
+    static_cast<void>(read(alarm_, &count, sizeof(count)));
+    alarm_at_ = {};
+    const base::instant now = clock_.now();
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+        timers_.begin()->second->expire();
+    }
+    set_alarm();
 }
 
+int on_alarm_event(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* /*in*/,
+                   std::size_t /*length*/) {
+    if (reason == LWS_CALLBACK_RAW_RX_FILE) {
+        static_cast<event_loop*>(lws_context_user(lws_get_context(wsi)))->on_alarm();
+    }
+    return 0;
+}
+
+timer::timer(event_loop& loop) : loop_(loop) {}
+
 timer::~timer() {
     cancel();
 }
 
 void timer::start(base::duration delay, std::function<void()> expired) {
+    cancel();
     expired_ = std::move(expired);
-    const lws_usec_t wait = std::max<lws_usec_t>(1, to_usec(delay));
-    lws_sul_schedule(loop_.context(), 0, &slot_.entry_, &timer::on_expired, wait);
+    place_ = loop_.timers_.emplace(loop_.clock_.now() + delay, this);
+    loop_.set_alarm();
 }
 
 void timer::cancel() {
-    lws_sul_cancel(&slot_.entry_);
+    if (place_) {
+        loop_.timers_.erase(*place_);
+        place_.reset();
+    }
     expired_ = nullptr;
 }
 
-void timer::on_expired(lws_sorted_usec_list_t* entry) {
-    timer* self = reinterpret_cast<slot*>(entry)->owner_;
-    const std::function<void()> expired = std::exchange(self->expired_, nullptr);
+void timer::expire() {
+    loop_.timers_.erase(*place_);
+    place_.reset();
+    const std::function<void()> expired = std::exchange(expired_, nullptr);
     if (expired) {
         expired();
     }
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -29,6 +31,8 @@
     std::string ip_;
 };
 
+class timer;
+
 // Owns the context. All sockets and timers of a task hang on its loop and are used from the thread
 // that runs it; only post() may be called from another thread.
 class event_loop {
@@ -66,17 +70,16 @@
     std::uint64_t pause_count();
 
 private:
-    friend int on_loop_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
-                             std::size_t length);
+    friend class timer;
+    friend int on_alarm_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
+                              std::size_t length);
 
     explicit event_loop(const base::runtime_clock& clock);
     void drain_inbox();
-    static void on_heartbeat(lws_sorted_usec_list_t* timer);
-
-    struct heartbeat {
-        lws_sorted_usec_list_t timer_{};
-        event_loop* loop_ = nullptr;
-    };
+    bool open_alarm();
+    void set_alarm();
+    void on_alarm();
+    void beat();
 
     const base::runtime_clock& clock_;
     lws_context* context_ = nullptr;
@@ -85,7 +88,12 @@
     std::atomic<bool> stopped_ = false;
     std::mutex inbox_mutex_;
     std::deque<std::function<void()>> inbox_;
-    heartbeat heartbeat_;
+    // Timers in the order of their ends. One file descriptor wakes the loop for the first of them:
+    // the library's own timers would make it spin through the last millisecond before each.
+    std::multimap<base::instant, timer*> timers_;
+    int alarm_ = -1;
+    base::instant alarm_at_{};
+    std::unique_ptr<timer> heartbeat_;
     base::instant last_beat_;
     std::uint64_t pauses_ = 0;
 };
@@ -104,15 +112,12 @@
     void cancel();
 
 private:
-    static void on_expired(lws_sorted_usec_list_t* entry);
+    friend class event_loop;
 
-    struct slot {
-        lws_sorted_usec_list_t entry_{};
-        timer* owner_ = nullptr;
-    };
+    void expire();
 
     event_loop& loop_;
-    slot slot_;
+    std::optional<std::multimap<base::instant, timer*>::iterator> place_;
     std::function<void()> expired_;
 };
 
--- a/src/net/protocols.cpp
+++ b/src/net/protocols.cpp
@@ -11,6 +11,7 @@
 const lws_protocols client_list[] = {
     {http_client_protocol, on_http_client_event, 0, read_bytes, 0, nullptr, 0},
     {frame_protocol, on_frame_event, 0, read_bytes, 0, nullptr, 0},
+    {alarm_protocol, on_alarm_event, 0, 0, 0, nullptr, 0},
     end_of_list,
 };
 
--- a/src/net/protocols.h
+++ b/src/net/protocols.h
@@ -8,6 +8,9 @@
 // Name of the protocol that carries frames between processes.
 inline constexpr const char* frame_protocol = "frames";
 
+// Name of the protocol of the loop's timer.
+inline constexpr const char* alarm_protocol = "alarm";
+
 // Name of the protocol of HTTP requests that this process makes.
 inline constexpr const char* http_client_protocol = "http-client";
 
@@ -24,6 +27,7 @@
                          std::size_t length);
 int on_http_client_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
                          std::size_t length);
+int on_alarm_event(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
 int on_frame_event(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length);
 
 }  // namespace dandelionridge::net
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -68,6 +68,10 @@
     // "IP:PORT" of a host's listener for callers.
     std::string callers_of(const std::string& host) const;
 
+    const base::address& target_address(const std::string& target) const {
+        return target_addresses_.at(target);
+    }
+
     // What a host's admin listener answers at a path.
     std::string admin(const std::string& host, const std::string& path) const;
 
