--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -96,6 +96,18 @@
     return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+// Processor time of a process without callers: what control costs.
+void measure_control(fleet& fleet) {
+    constexpr std::chrono::seconds span(5);
+    const double before = processor_s(fleet.host("h1"));
+    std::this_thread::sleep_for(span);
+    const double used = processor_s(fleet.host("h1")) - before;
+    std::cout << "bench control_core_percent="
+              << used / std::chrono::duration<double>(span).count() * 100
+              << " resident_mb=" << static_cast<double>(fleet.host("h1").resident_bytes()) / 1e6
+              << '\n';
+}
+
 void measure_idle_connections(fleet& fleet, const dandelionridge::base::address& entry) {
     const std::size_t before = fleet.host("h1").resident_bytes();
     sockaddr_in at{};
@@ -148,6 +160,7 @@
               << " entry_us_per_request=" << entry_s / requests * 1e6
               << " guard_us_per_request=" << guard_s / requests * 1e6
               << " requests_per_core_s=" << requests / (entry_s + guard_s) << '\n';
+    measure_control(fleet);
     measure_idle_connections(fleet,
                              dandelionridge::base::parse_address(fleet.callers_of("h1")).value());
     return 0;
