--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kept_answer_bytes = 16 * 1024 * 1024;
 constexpr std::size_t kept_answer_count = 4096;
 constexpr std::int32_t short_retry_ms = 200;
+constexpr base::duration forget_interval = base::seconds(60);
+// Far longer than any request may take.
+constexpr base::duration forget_after = base::seconds(1800);
 
 wire::attempt_state to_wire(policy::attempt_fate fate) {
     switch (fate) {
@@ -53,7 +56,9 @@
       identity_(identity),
       configuration_(configuration),
       events_(events),
-      listener_(listener) {
+      listener_(listener),
+      forget_timer_(loop) {
+    forget_timer_.start(forget_interval, [this] { forget_gone_entries(); });
     ledger_.boot_ = identity.boot_;
     ledger_.capacity_ = settings.remembered_attempts_;
 }
@@ -147,6 +152,7 @@
         return;
     }
     links_[{hello.boot, hello.link}] = link.socket_.get();
+    gone_since_.erase(hello.boot);
     listener_.on_peer_versions(link.host_, hello.versions);
 }
 
@@ -159,6 +165,7 @@
     connections_.erase(found);
     if (lost.welcomed_) {
         links_.erase({lost.entry_boot_, lost.link_});
+        gone_since_[lost.entry_boot_] = loop_.clock().now();
         drop_link({lost.entry_boot_, lost.link_});
     }
     loop_.defer([keep = std::shared_ptr<net::frame_socket>(std::move(lost.socket_))] {});
@@ -518,6 +525,26 @@
     }
 }
 
+// Drops what is kept for entries that most likely ended: 22,000 restarts a day add up.
+void guard::forget_gone_entries() {
+    const base::instant now = loop_.clock().now();
+    std::erase_if(gone_since_, [&](const auto& gone) {
+        const std::int64_t boot = gone.first;
+        const auto open = links_.lower_bound({boot, 0});
+        if (open != links_.end() && open->first.entry_boot_ == boot) {
+            return true;
+        }
+        if (now - gone.second < forget_after) {
+            return false;
+        }
+        policy::forget_entry(ledger_, boot);
+        std::erase_if(followed_by_,
+                      [&](const auto& entry) { return entry.first.entry_boot_ == boot; });
+        return true;
+    });
+    forget_timer_.start(forget_interval, [this] { forget_gone_entries(); });
+}
+
 guard::connection* guard::link_for(const link_key& key) {
     link_key at = key;
     for (;;) {
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -108,6 +108,7 @@
     void leave_queue(guard_attempt& attempt);
     void drop_link(link_key key);
     void follow(const policy::ledger_key& key, const link_key& by);
+    void forget_gone_entries();
     connection* link_for(const link_key& key);
     guard_attempt* find(const connection& link, const wire::attempt_ref& ref);
     const std::vector<std::string>& headers_for(const std::string& service);
@@ -133,6 +134,9 @@
     std::unordered_map<std::uint64_t, policy::ledger_key> waiting_;
     std::unordered_map<std::string, std::vector<std::string>> answer_headers_;
     std::uint64_t next_queue_id_ = 1;
+    // Since when an entry has had no link; entries with one are not listed.
+    std::map<std::int64_t, base::instant> gone_since_;
+    net::timer forget_timer_;
     guard_counters counters_;
     bool draining_ = false;
 };
--- a/src/policy/guard_ledger.cpp
+++ b/src/policy/guard_ledger.cpp
@@ -13,6 +13,9 @@
 void evict_oldest(guard_ledger& ledger) {
     const ledger_key oldest = ledger.ended_.front();
     ledger.ended_.pop_front();
+    if (!ledger.entries_.contains(oldest.entry_boot_)) {
+        return;
+    }
     link_record& link = link_of(ledger, oldest);
     link.attempts_.erase(oldest.attempt_.sequence_);
     link.evicted_up_to_ = std::max(link.evicted_up_to_, oldest.attempt_.sequence_);
@@ -101,10 +104,23 @@
     set_ended(ledger, key, attempt_stage::done);
 }
 
+void forget_entry(guard_ledger& ledger, std::int64_t entry_boot) {
+    ledger.entries_.erase(entry_boot);
+    if (!ledger.forgotten_.insert(entry_boot).second) {
+        return;
+    }
+    ledger.forgotten_order_.push_back(entry_boot);
+    if (ledger.forgotten_order_.size() > most_forgotten) {
+        ledger.forgotten_.erase(ledger.forgotten_order_.front());
+        ledger.forgotten_order_.pop_front();
+    }
+}
+
 link_resolution resolve_link(guard_ledger& ledger, std::int64_t entry_boot, std::int64_t link,
                              std::int64_t named_boot, std::span<const std::int64_t> sequences) {
     link_resolution resolution;
-    if (named_boot != ledger.boot_ && ledger.rules_.boot_) {
+    const bool other_boot = named_boot != ledger.boot_ && ledger.rules_.boot_;
+    if (other_boot || ledger.forgotten_.contains(entry_boot)) {
         for (const std::int64_t sequence : sequences) {
             resolution.fates_.push_back({sequence, attempt_fate::unknown});
         }
--- a/src/policy/guard_ledger.h
+++ b/src/policy/guard_ledger.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -60,8 +61,14 @@
     ledger_rules rules_;
     std::map<std::int64_t, entry_record> entries_;
     std::deque<ledger_key> ended_;
+    // Boots of entries whose records were dropped, oldest first: their attempts have unknown fates.
+    std::deque<std::int64_t> forgotten_order_;
+    std::set<std::int64_t> forgotten_;
 };
 
+// Boots of entries that are remembered as forgotten.
+inline constexpr std::size_t most_forgotten = 65'536;
+
 enum class admission { accepted, wrong_boot, barred, duplicate };
 
 struct fate_of {
@@ -90,6 +97,9 @@
 // The attempt ran to its end.
 void end_attempt(guard_ledger& ledger, ledger_key key);
 
+// Drops the record of an entry that has had no link for long, and is thus most likely gone.
+void forget_entry(guard_ledger& ledger, std::int64_t entry_boot);
+
 // Bars a link of an entry and tells the fates of the attempts asked for.
 link_resolution resolve_link(guard_ledger& ledger, std::int64_t entry_boot, std::int64_t link,
                              std::int64_t named_boot, std::span<const std::int64_t> sequences);
--- a/tests/attempt_fuzz_test.cpp
+++ b/tests/attempt_fuzz_test.cpp
@@ -311,3 +311,28 @@
         CHECK_THAT(first_fault(rules), !Catch::Equals(""));
     }
 }
+
+TEST_CASE("an attempt of a forgotten entry has an unknown fate", "[attempt]") {
+    guard_ledger ledger;
+    ledger.boot_ = 1;
+    ledger.capacity_ = 10;
+    const ledger_key ran{77, {1, 1}};
+    REQUIRE(accept_link(ledger, 77, 1));
+    REQUIRE(admit_attempt(ledger, ran, 1) == admission::accepted);
+    REQUIRE(start_attempt(ledger, ran));
+    end_attempt(ledger, ran);
+    forget_entry(ledger, 77);
+    CHECK(ledger.entries_.empty());
+    REQUIRE(accept_link(ledger, 77, 2));
+    const std::int64_t asked[] = {1};
+    CHECK(resolve_link(ledger, 77, 1, 1, asked).fates_.front().fate_ == attempt_fate::unknown);
+    // Eviction of what was forgotten brings no record back.
+    forget_entry(ledger, 77);
+    for (std::int64_t i = 1; i <= 20; ++i) {
+        const ledger_key other{78, {1, i}};
+        admit_attempt(ledger, other, 1);
+        start_attempt(ledger, other);
+        end_attempt(ledger, other);
+    }
+    CHECK_FALSE(ledger.entries_.contains(77));
+}
