Break off an order's answer whose guard is lost midway

Cause: the deadline timer ends when an answer begins; when the link of an order was lost after that, nothing bounded the wait for its guard, and the caller hung. Change: the wait for a lost guard is bounded by the service's timeout, after which the caller's connection is broken visibly.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -249,6 +249,8 @@
 }
 
 void call::on_answer_head(const wire::answer_head& head) {
+    // A body may take its time as long as it moves; the deadline is for its beginning.
+    deadline_timer_.cancel();
     if (head_sent_ && resuming_) {
         if (!continues_answer(head)) {
             leave_attempt();
@@ -272,8 +274,6 @@
         answer.length_ = static_cast<std::uint64_t>(head.length);
     }
     head_sent_ = true;
-    // A body may take its time as long as it moves; the deadline is for its beginning.
-    deadline_timer_.cancel();
     exchange_.send_head(answer);
 }
 
@@ -341,7 +341,10 @@
     }
     if (!head_sent_) {
         attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::answer_lost);
+        return;
     }
+    // The guard is asked for the rest, but not for ever.
+    deadline_timer_.start(context_.service_->timeout_, [this] { on_deadline(); });
 }
 
 void call::attempt_ended(policy::attempt_outcome outcome, filter::reason why) {
@@ -382,7 +385,9 @@
     const bool written = attempt_ != nullptr && attempt_->written_;
     leave_attempt();
     owner_.quota_.withdraw(*this);
-    if (written || maybe_ran_) {
+    if (head_sent_) {
+        break_answer();
+    } else if (written || maybe_ran_) {
         refuse_unknown(filter::reason::deadline);
     } else {
         refuse_not_run(filter::reason::deadline);
--- a/src/policy/quota_share.cpp
+++ b/src/policy/quota_share.cpp
@@ -1,6 +1,7 @@
 #include "policy/quota_share.h"
 
 #include <algorithm>
+#include <ranges>
 #include <string>
 
 #include "base/hash.h"
@@ -31,11 +32,11 @@
 std::optional<base::instant> owned_since(std::string_view organisation, std::string_view self,
                                          std::span<const list_epoch> epochs) {
     std::optional<base::instant> since;
-    for (auto epoch = epochs.rbegin(); epoch != epochs.rend(); ++epoch) {
-        if (owner_of_share(organisation, epoch->hosts_) != self) {
+    for (const list_epoch& epoch : std::views::reverse(epochs)) {
+        if (owner_of_share(organisation, epoch.hosts_) != self) {
             break;
         }
-        since = epoch->since_;
+        since = epoch.since_;
     }
     return since;
 }
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -1,5 +1,6 @@
 // A caller receives the whole answer to its own request, or sees that it does not.
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "support/plans.h"
 
@@ -115,3 +116,21 @@
         CHECK(answer.body_.starts_with("t1 GET /orders/" + id + " "));
     }
 }
+
+TEST_CASE("an order's answer whose guard is lost midway is broken off, not left hanging",
+          "[promise-whole-answer]") {
+    fleet fleet(orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=3s"));
+    fleet.start_all();
+    caller_request request = order(fleet, "h1", "o", "POST");
+    // Long enough that the freeze comes in the middle.
+    request.url_ += "?bytes=2000000000";
+    request.discard_body_ = true;
+    auto answer = send_in_background(request);
+    REQUIRE(wait_for([&] { return fleet.runs_of("o") == 1; }));
+    fleet.host("h2").send_signal(SIGSTOP);
+    const auto got = answer.get();
+    CHECK(got.status_ == 200);
+    CHECK_FALSE(got.whole_);
+    CHECK_FALSE(got.timed_out_);
+    fleet.host("h2").send_signal(SIGCONT);
+}
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -106,6 +106,7 @@
     }
     const CURLcode code = curl_easy_perform(handle_);
     answer.whole_ = code == CURLE_OK;
+    answer.timed_out_ = code == CURLE_OPERATION_TIMEDOUT;
     answer.not_connected_ = code == CURLE_COULDNT_CONNECT;
     long status = 0;
     curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -25,6 +25,8 @@
 struct caller_answer {
     // False if the connection broke before the answer was whole.
     bool whole_ = false;
+    // The caller's own patience ended first.
+    bool timed_out_ = false;
     // No connection could be made: nothing was asked.
     bool not_connected_ = false;
     int status_ = 0;
