--- a/src/policy/quota_share.cpp
+++ b/src/policy/quota_share.cpp
@@ -1,7 +1,6 @@
 #include "policy/quota_share.h"
 
 #include <algorithm>
-#include <ranges>
 #include <string>
 
 #include "base/hash.h"
@@ -32,7 +31,8 @@
 std::optional<base::instant> owned_since(std::string_view organisation, std::string_view self,
                                          std::span<const list_epoch> epochs) {
     std::optional<base::instant> since;
-    for (const list_epoch& epoch : std::views::reverse(epochs)) {
+    for (std::size_t left = epochs.size(); left > 0; --left) {
+        const list_epoch& epoch = epochs[left - 1];
         if (owner_of_share(organisation, epoch.hosts_) != self) {
             break;
         }
