--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -4,20 +4,18 @@
 #include <utility>
 
 #include "filter/header_list.h"
+#include "node/wire_attempt.h"
 
 namespace dandelionridge::node {
 
 namespace {
 
-// Bytes of answers that are kept for entries that lost their link.
-constexpr std::size_t kept_answer_bytes = 16 * 1024 * 1024;
-constexpr std::size_t kept_answer_count = 4096;
 constexpr std::int32_t short_retry_ms = 200;
 constexpr base::duration forget_interval = base::seconds(60);
 // Far longer than any request may take.
 constexpr base::duration forget_after = base::seconds(1800);
 
-wire::attempt_state to_wire(policy::attempt_fate fate) {
+wire::attempt_state state_of(policy::attempt_fate fate) {
     switch (fate) {
         case policy::attempt_fate::not_run:
             return wire::attempt_state::not_run;
@@ -31,17 +29,10 @@
     return wire::attempt_state::unknown;
 }
 
-wire::attempt_ref ref_of(const policy::ledger_key& key) {
-    wire::attempt_ref ref;
-    ref.link = key.attempt_.link_;
-    ref.sequence = key.attempt_.sequence_;
-    return ref;
-}
-
 wire::frame failure_frame(const policy::ledger_key& key, wire::failure_reason reason) {
     wire::frame frame;
     frame.__isset.failed_ = true;
-    frame.failed_.attempt = ref_of(key);
+    frame.failed_.attempt = to_wire(key.attempt_);
     frame.failed_.reason = reason;
     return frame;
 }
@@ -205,7 +196,7 @@
 }
 
 guard_attempt* guard::find(const connection& link, const wire::attempt_ref& ref) {
-    const auto found = attempts_.find({link.entry_boot_, {ref.link, ref.sequence}});
+    const auto found = attempts_.find({link.entry_boot_, from_wire(ref)});
     return found == attempts_.end() ? nullptr : found->second.get();
 }
 
@@ -280,7 +271,7 @@
 
 void guard::on_begin(connection& link, wire::attempt_begin&& begin) {
     const wire::attempt_ref ref = begin.attempt;
-    const policy::ledger_key key{link.entry_boot_, {ref.link, ref.sequence}};
+    const policy::ledger_key key{link.entry_boot_, from_wire(ref)};
     if (ref.link != link.link_) {
         send_refusal(link, ref, wire::refusal_reason::duplicate);
         return;
@@ -373,7 +364,7 @@
 void guard::refuse(guard_attempt& attempt, wire::refusal_reason reason) {
     policy::refuse_attempt(ledger_, attempt.key());
     if (connection* link = link_for({attempt.key().entry_boot_, attempt.key().attempt_.link_})) {
-        send_refusal(*link, ref_of(attempt.key()), reason);
+        send_refusal(*link, to_wire(attempt.key().attempt_), reason);
     }
     finish(attempt);
 }
@@ -440,23 +431,12 @@
 }
 
 void guard::retire(std::unique_ptr<guard_attempt> attempt) {
-    const kept_answer& kept = attempt->kept();
-    if (attempt->begin().idempotent || !kept.ended_ || kept.overflown_) {
-        // Its own callbacks may be on the stack.
-        loop_.defer([keep = std::shared_ptr<guard_attempt>(std::move(attempt))] {});
+    if (answer_store::keeps(*attempt)) {
+        answers_.add(std::move(attempt));
         return;
     }
-    ended_bytes_ += kept.body_.size();
-    const policy::ledger_key key = attempt->key();
-    ended_order_.push_back(key);
-    ended_.emplace(key, std::move(attempt));
-    while (ended_bytes_ > kept_answer_bytes || ended_order_.size() > kept_answer_count) {
-        const auto oldest = ended_.find(ended_order_.front());
-        ended_order_.pop_front();
-        ended_bytes_ -= oldest->second->kept().body_.size();
-        loop_.defer([keep = std::shared_ptr<guard_attempt>(std::move(oldest->second))] {});
-        ended_.erase(oldest);
-    }
+    // Its own callbacks may be on the stack.
+    loop_.defer([keep = std::shared_ptr<guard_attempt>(std::move(attempt))] {});
 }
 
 void guard::on_resolve(connection& link, const wire::resolve& question) {
@@ -485,7 +465,7 @@
     for (const policy::fate_of& fate : resolution.fates_) {
         wire::resolved_attempt resolved;
         resolved.sequence = fate.sequence_;
-        resolved.state = to_wire(fate.fate_);
+        resolved.state = state_of(fate.fate_);
         frame.resolution_.attempts.push_back(resolved);
         events_.record(
             loop_.clock().wall_ms(), "attempt_asked",
@@ -515,9 +495,8 @@
         running->second->resend_answer();
         return;
     }
-    const auto ended = ended_.find(key);
-    if (ended != ended_.end()) {
-        ended->second->resend_answer();
+    if (guard_attempt* ended = answers_.find(key)) {
+        ended->resend_answer();
         return;
     }
     if (connection* link = link_for(by)) {
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,6 +16,7 @@
 #include "control/configuration.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "node/answer_store.h"
 #include "node/guard_attempt.h"
 #include "node/guard_link.h"
 #include "observe/event.h"
@@ -126,10 +126,7 @@
     // Links that answer for attempts of lost links.
     std::map<link_key, link_key> followed_by_;
     std::map<policy::ledger_key, std::unique_ptr<guard_attempt>> attempts_;
-    // Ended attempts whose answers are kept, oldest first.
-    std::map<policy::ledger_key, std::unique_ptr<guard_attempt>> ended_;
-    std::deque<policy::ledger_key> ended_order_;
-    std::size_t ended_bytes_ = 0;
+    answer_store answers_;
     std::unordered_map<std::string, target_state> targets_;
     std::unordered_map<std::uint64_t, policy::ledger_key> waiting_;
     std::unordered_map<std::string, std::vector<std::string>> answer_headers_;
--- a/src/node/guard_attempt.cpp
+++ b/src/node/guard_attempt.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "node/wire_attempt.h"
+
 namespace dandelionridge::node {
 
 namespace {
@@ -12,13 +14,6 @@
 // Longest time that an entry may take no more of an answer: its caller does not read.
 constexpr base::duration stalled_entry_bound = base::seconds(60);
 
-wire::attempt_ref ref_of(const policy::ledger_key& key) {
-    wire::attempt_ref ref;
-    ref.link = key.attempt_.link_;
-    ref.sequence = key.attempt_.sequence_;
-    return ref;
-}
-
 }  // namespace
 
 guard_attempt::guard_attempt(net::event_loop& loop, guard_attempt_owner& owner,
@@ -99,7 +94,7 @@
 void guard_attempt::on_request_sent(std::size_t bytes) {
     wire::frame frame;
     frame.__isset.credit_ = true;
-    frame.credit_.attempt = ref_of(key_);
+    frame.credit_.attempt = to_wire(key_.attempt_);
     frame.credit_.bytes = static_cast<std::int32_t>(bytes);
     owner_.send_to_entry(*this, frame);
 }
@@ -116,7 +111,7 @@
     // From here on the answer may take its time as long as it moves.
     expire_after(progress_bound);
     kept_.headed_ = true;
-    kept_.head_.attempt = ref_of(key_);
+    kept_.head_.attempt = to_wire(key_.attempt_);
     kept_.head_.status = answer.status_;
     kept_.head_.in_flight = in_flight_;
     for (const net::http_header& header : answer.headers_) {
@@ -153,7 +148,7 @@
 void guard_attempt::send_body(std::string_view bytes, bool last, bool whole) {
     wire::frame frame;
     frame.__isset.body_ = true;
-    frame.body_.attempt = ref_of(key_);
+    frame.body_.attempt = to_wire(key_.attempt_);
     frame.body_.bytes.assign(bytes);
     frame.body_.last = last;
     frame.body_.whole = whole;
--- a/src/node/guard_link.cpp
+++ b/src/node/guard_link.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/wire_attempt.h"
+
 namespace dandelionridge::node {
 
 namespace {
@@ -13,17 +15,6 @@
 constexpr base::duration shortest_reconnect = base::milliseconds(50);
 constexpr int most_doublings = 5;
 
-policy::attempt_id to_id(const wire::attempt_ref& ref) {
-    return {ref.link, ref.sequence};
-}
-
-wire::attempt_ref to_ref(policy::attempt_id attempt) {
-    wire::attempt_ref ref;
-    ref.link = attempt.link_;
-    ref.sequence = attempt.sequence_;
-    return ref;
-}
-
 std::string to_text(policy::attempt_id attempt) {
     return std::to_string(attempt.link_) + "/" + std::to_string(attempt.sequence_);
 }
@@ -87,7 +78,7 @@
         policy::settle_attempt(state_, attempt);
         wire::frame frame;
         frame.__isset.cancel_ = true;
-        frame.cancel_.attempt = to_ref(attempt);
+        frame.cancel_.attempt = to_wire(attempt);
         send(frame);
     }
 }
@@ -95,7 +86,7 @@
 void guard_link::send_body(policy::attempt_id attempt, std::string_view bytes, bool last) {
     wire::frame frame;
     frame.__isset.body_ = true;
-    frame.body_.attempt = to_ref(attempt);
+    frame.body_.attempt = to_wire(attempt);
     frame.body_.bytes.assign(bytes);
     frame.body_.last = last;
     frame.body_.whole = true;
@@ -105,7 +96,7 @@
 void guard_link::send_credit(policy::attempt_id attempt, std::int32_t bytes) {
     wire::frame frame;
     frame.__isset.credit_ = true;
-    frame.credit_.attempt = to_ref(attempt);
+    frame.credit_.attempt = to_wire(attempt);
     frame.credit_.bytes = bytes;
     send(frame);
 }
@@ -208,7 +199,7 @@
     wire::frame frame;
     frame.__isset.begin_ = true;
     frame.begin_ = std::move(start.begin_);
-    frame.begin_.attempt = to_ref(*attempt);
+    frame.begin_.attempt = to_wire(*attempt);
     frame.begin_.guard_boot = state_.open_->guard_boot_;
     attempts_.emplace(*attempt, start.events_);
     send(frame);
@@ -293,7 +284,7 @@
         // The answer follows on this link.
         return;
     }
-    attempt_events* listener = settle(to_ref(attempt));
+    attempt_events* listener = settle(to_wire(attempt));
     if (listener == nullptr) {
         return;
     }
@@ -326,14 +317,14 @@
 }
 
 attempt_events* guard_link::find(const wire::attempt_ref& ref) {
-    const auto found = attempts_.find(to_id(ref));
+    const auto found = attempts_.find(from_wire(ref));
     return found == attempts_.end() ? nullptr : found->second;
 }
 
 attempt_events* guard_link::settle(const wire::attempt_ref& ref) {
     attempt_events* listener = find(ref);
-    attempts_.erase(to_id(ref));
-    policy::settle_attempt(state_, to_id(ref));
+    attempts_.erase(from_wire(ref));
+    policy::settle_attempt(state_, from_wire(ref));
     return listener;
 }
 
