Let the target stand-in drain, and show that nothing is lost by it

Change: it stops listening and ends what it runs; a process test sends orders meanwhile. Figures: 1 run at the draining target (the one held), 5 of 5 later orders answered elsewhere.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -97,3 +97,19 @@
     CHECK(fleet.target("t1").total_runs() == 1);
     CHECK(fleet.host("h2").wait() == 0);
 }
+
+TEST_CASE("a draining target ends its work and its new work goes elsewhere", "[promise-leaving]") {
+    fleet fleet(orders_plan({"z1", "z1", "z2"}, {"h2", "h3"}, "slots=20 timeout=20s"));
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(1)});
+    auto held = send_in_background(order(fleet, "h1", "held", "POST"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("held") == 1; }));
+    fleet.target("t1").drain();
+    caller caller;
+    for (int i = 0; i < 5; ++i) {
+        const auto answer = caller.send(order(fleet, "h1", "d" + std::to_string(i), "POST"));
+        CHECK(answer.body_.starts_with("t2 "));
+    }
+    CHECK(held.get().status_ == 200);
+    CHECK(fleet.target("t1").total_runs() == 1);
+}
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -226,6 +226,10 @@
     behaviour_ = behaviour;
 }
 
+void target_stub::drain() {
+    thread_.run([&] { server_->stop_listening(); });
+}
+
 std::map<std::string, int> target_stub::runs() const {
     const std::lock_guard lock(mutex_);
     return runs_;
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -54,6 +54,9 @@
 
     void set(target_behaviour behaviour);
 
+    // Takes no new connection and ends what it runs.
+    void drain();
+
     // Runs by request id, of requests that were received whole.
     std::map<std::string, int> runs() const;
     std::size_t total_runs() const;
