Let the owner take tokens by the bucket's own function

Cause: grant_lease repeated what take() does, which nothing else in src used. Change: grant_lease calls take(). Figures: 332 assertions of 23 unit test cases pass.

--- a/src/policy/quota_owner.cpp
+++ b/src/policy/quota_owner.cpp
@@ -88,13 +88,11 @@
         return {0, 0, base::milliseconds(200)};
     }
     settle(owner, rules, now);
-    const auto whole = static_cast<std::int64_t>(owner.bucket_.tokens_);
-    const std::int64_t granted = std::clamp<std::int64_t>(wanted, 0, whole);
+    const std::int64_t granted = take(owner.bucket_, wanted, now);
     if (granted == 0) {
         return {0, 0,
                 std::max<base::duration>(wait_for_token(owner.bucket_), base::milliseconds(1))};
     }
-    owner.bucket_.tokens_ -= static_cast<double>(granted);
     owner.out_ += granted;
     const lease_record lease{owner.next_lease_++, granted,
                              now + owner.times_.lease_ + owner.times_.drift_};
