--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -200,16 +200,9 @@
     return found == attempts_.end() ? nullptr : found->second.get();
 }
 
-const config::target_entry* guard::find_target(const wire::attempt_begin& begin) const {
-    const config::host_entry* own = config::find_host(*configuration_.hosts(), identity_.host_);
-    if (own == nullptr) {
-        return nullptr;
-    }
-    const auto found = std::find_if(
-        own->targets_.begin(), own->targets_.end(), [&](const config::target_entry& target) {
-            return target.name_ == begin.target_name && target.service_ == begin.service_name;
-        });
-    return found == own->targets_.end() ? nullptr : &*found;
+admission_view guard::view() const {
+    return {*configuration_.rules(), *configuration_.hosts(), identity_.host_,
+            identity_.freshness_age_(), settings_.freshness_bound_};
 }
 
 // Why an attempt cannot even wait, if so.
@@ -218,44 +211,13 @@
         return wire::refusal_reason::draining;
     }
     const bool known_service = configuration_.rules()->services_.contains(begin.service_name);
-    if (!known_service || find_target(begin) == nullptr) {
+    if (!known_service || find_target(view(), begin) == nullptr) {
         return wire::refusal_reason::target_unknown;
     }
     if (waiting_.size() >= settings_.queued_requests_) {
         return wire::refusal_reason::overload;
     }
-    return fence(begin);
-}
-
-// The last check before a slot is used.
-std::optional<wire::refusal_reason> guard::fence(const wire::attempt_begin& begin) const {
-    if (begin.key_id.empty()) {
-        return std::nullopt;
-    }
-    if (identity_.freshness_age_() > settings_.freshness_bound_) {
-        return wire::refusal_reason::configuration_stale;
-    }
-    const config::rule_set& rules = *configuration_.rules();
-    if (config::key_in_force(rules, begin.key_id, begin.organisation)) {
-        return std::nullopt;
-    }
-    return begin.rules_version > rules.version_ ? wire::refusal_reason::configuration_lag
-                                                : wire::refusal_reason::key_withdrawn;
-}
-
-int guard::slots(const std::string& target) const {
-    const config::rule_set& rules = *configuration_.rules();
-    const config::host_entry* own = config::find_host(*configuration_.hosts(), identity_.host_);
-    if (own == nullptr) {
-        return 1;
-    }
-    for (const config::target_entry& entry : own->targets_) {
-        const auto service = rules.services_.find(entry.service_);
-        if (entry.name_ == target && service != rules.services_.end()) {
-            return config::slots_of(rules, service->second, target);
-        }
-    }
-    return 1;
+    return check_key(view(), begin);
 }
 
 void guard::send_refusal(connection& link, const wire::attempt_ref& attempt,
@@ -313,7 +275,7 @@
 // Fills the free slots of a target from its queue.
 void guard::pump(const std::string& target) {
     target_state& state = targets_[target];
-    const int free_at = slots(target);
+    const int free_at = slots_of_target(view(), target);
     while (state.queue_.size_ > 0 && state.in_flight_ < free_at) {
         const auto next = policy::pop(state.queue_);
         const auto key = waiting_.find(next->id_);
@@ -328,11 +290,11 @@
         refuse(attempt, wire::refusal_reason::deadline);
         return;
     }
-    if (const auto reason = fence(attempt.begin())) {
+    if (const auto reason = check_key(view(), attempt.begin())) {
         refuse(attempt, *reason);
         return;
     }
-    const config::target_entry* target = find_target(attempt.begin());
+    const config::target_entry* target = find_target(view(), attempt.begin());
     if (target == nullptr) {
         refuse(attempt, wire::refusal_reason::target_unknown);
         return;
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -16,6 +16,7 @@
 #include "control/configuration.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "node/admission.h"
 #include "node/answer_store.h"
 #include "node/guard_attempt.h"
 #include "node/guard_link.h"
@@ -94,9 +95,7 @@
     void on_resolve(connection& link, const wire::resolve& question);
     void on_ping(connection& link, const wire::ping& ping);
     std::optional<wire::refusal_reason> objection(const wire::attempt_begin& begin) const;
-    std::optional<wire::refusal_reason> fence(const wire::attempt_begin& begin) const;
-    const config::target_entry* find_target(const wire::attempt_begin& begin) const;
-    int slots(const std::string& target) const;
+    admission_view view() const;
     void enqueue(policy::ledger_key key, wire::attempt_begin&& begin);
     void pump(const std::string& target);
     void start(guard_attempt& attempt);
