Sort the hosts by zone once a list, not once a lease question

Cause: each question for quota copied the names of every zone's hosts out of the whole host list, which on the request path would be 5,000 names a question at the planned size. Change: the names by zone are kept and made anew when a host list comes into force. Ruled out for now: keeping the owners too, since they differ by organisation. Still done for each attempt: the guard's list of answer headers and the owner's division of a share.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -22,16 +22,6 @@
     return names;
 }
 
-std::vector<std::string> hosts_of_zone(const config::host_list& hosts, const std::string& zone) {
-    std::vector<std::string> names;
-    for (const config::host_entry& host : hosts.hosts_) {
-        if (host.zone_ == zone) {
-            names.push_back(host.name_);
-        }
-    }
-    return names;
-}
-
 }  // namespace
 
 fleet_quota::fleet_quota(const base::runtime_clock& clock, const configuration& configuration,
@@ -77,8 +67,11 @@
     }
     std::vector<std::string> found;
     for (const std::string& zone : zones) {
-        std::string owner =
-            policy::owner_of_share(organisation, hosts_of_zone(*configuration_.hosts(), zone));
+        const auto hosts = hosts_by_zone_.find(zone);
+        if (hosts == hosts_by_zone_.end()) {
+            continue;
+        }
+        std::string owner = policy::owner_of_share(organisation, hosts->second);
         if (!owner.empty()) {
             found.push_back(std::move(owner));
         }
@@ -235,7 +228,11 @@
 
 void fleet_quota::on_hosts_changed() {
     const base::instant now = clock_.now();
-    epochs_.push_back({now, hosts_of_zone(*configuration_.hosts(), options_.zone_)});
+    hosts_by_zone_.clear();
+    for (const config::host_entry& host : configuration_.hosts()->hosts_) {
+        hosts_by_zone_[host.zone_].push_back(host.name_);
+    }
+    epochs_.push_back({now, hosts_by_zone_[options_.zone_]});
     // Epochs that ended before the takeover wait have no bearing any more.
     const base::duration wait = policy::takeover_wait(options_.times_);
     while (epochs_.size() > 1 && now - epochs_[1].since_ > wait) {
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -92,6 +92,8 @@
     std::unordered_map<std::string, demand> demands_;
     std::unordered_map<std::int64_t, std::string> requests_;
     std::unordered_map<std::string, policy::quota_owner> owned_;
+    // Names of the hosts of each zone in the list in force.
+    std::unordered_map<std::string, std::vector<std::string>> hosts_by_zone_;
     std::vector<policy::list_epoch> epochs_;
     policy::tenure tenure_;
     std::int64_t next_request_ = 1;
