Connect at once to a peer that is heard; hand the quota over in 200 ms

A restarted owner withheld grants for 1 s, since others could act in its place until their links reopened (0.4 s back-off). An incoming hello now reopens the outgoing link at once, so 200 ms suffice; the fuzz and the process tests of the rate still hold.

--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -14,7 +14,7 @@
 constexpr base::duration draining_belief = base::seconds(10);
 
 // Part of the fleet's retry budget that the entries use, since each counts for itself.
-constexpr double budget_part = 0.7;
+constexpr double budget_part = 0.5;
 
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
     for (const config::zone_rule& rule : rules.zones_) {
--- a/src/node/guard_link.cpp
+++ b/src/node/guard_link.cpp
@@ -128,6 +128,13 @@
     }
 }
 
+void guard_link::hurry() {
+    if (socket_ == nullptr && failures_ > 0 && kept_) {
+        retry_timer_.cancel();
+        connect();
+    }
+}
+
 bool guard_link::idle(base::instant now) const {
     return !kept_ && attempts_.empty() && pending_.empty() && now - last_used_ > idle_bound;
 }
--- a/src/node/guard_link.h
+++ b/src/node/guard_link.h
@@ -104,6 +104,9 @@
     // Keeps a link open from now on, or no longer.
     void keep_open(bool kept);
 
+    // The peer has shown that it is there: a link that waits to be opened is opened now.
+    void hurry();
+
     // True if the last openings failed: attempts are turned away at once until one succeeds.
     bool failing() const { return failures_ > 1; }
 
--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -63,6 +63,13 @@
     }
 }
 
+void link_pool::on_heard(const std::string& host) {
+    const auto found = named_.find(host);
+    if (found != named_.end()) {
+        found->second->hurry();
+    }
+}
+
 bool link_pool::is_open(const std::string& host) const {
     const auto found = named_.find(host);
     return found != named_.end() && found->second->is_open();
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -27,6 +27,9 @@
     // other hosts are opened on demand.
     void follow(const config::host_list& hosts);
 
+    // A host has opened a link to this one.
+    void on_heard(const std::string& host);
+
     // True if a link to a host of that name is open.
     bool is_open(const std::string& host) const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -258,8 +258,9 @@
     });
 }
 
-void node::on_peer_versions(const std::string& /*peer*/, const wire::config_versions& seen,
+void node::on_peer_versions(const std::string& peer, const wire::config_versions& seen,
                             const frame_reply& reply) {
+    links_->on_heard(peer);
     gossip_.on_versions(seen, reply);
 }
 
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -23,7 +23,7 @@
 
 // A host that begins to act grants nothing for this long: another may still act, and be asked,
 // until all have an open link again.
-inline constexpr base::duration quota_handover = base::milliseconds(1000);
+inline constexpr base::duration quota_handover = base::milliseconds(200);
 
 // Part of its share of the rate that a host grants itself while it knows of no owner: others may
 // have found one.
