--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "node/call.h"
+#include "policy/target_health.h"
 
 namespace dandelionridge::node {
 
@@ -106,6 +107,7 @@
     const guard_link* link = parts_.links_.find(host);
     const target_view* view = views_.find(target.name_);
     policy::candidate candidate;
+    candidate.suspicion_ = policy::usual_suspicion;
     candidate.distance_ = distance_between(rules, parts_.settings_.zone_, host.zone_);
     candidate.load_ = views_.load_of(target.name_, parts_.loop_.clock().now());
     candidate.slots_ =
@@ -116,6 +118,10 @@
         host.leaving_ || is_draining(host.name_) || !config::target_in(rules, target.name_);
     if (view != nullptr) {
         candidate.run_ = base::milliseconds(view->report_.run_ms);
+        candidate.run_age_ = parts_.loop_.clock().now() - view->reported_at_;
+        constexpr double percent = 100;
+        candidate.suspicion_ =
+            policy::faded_suspicion(view->report_.suspicion / percent, candidate.run_age_);
         candidate.ejected_ = view->report_.ejected;
         candidate.on_trial_ = view->report_.on_trial;
     }
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -15,6 +15,7 @@
 // A run that was given up counts against its target once it took this many times the usual.
 constexpr int hung_runs = 3;
 constexpr int first_server_error = 500;
+constexpr double percent = 100;
 
 wire::frame failure_frame(const guard_attempt& attempt, wire::failure_reason reason) {
     wire::frame frame;
@@ -353,6 +354,9 @@
     report.run_ms =
         static_cast<std::int32_t>(base::whole_ms(policy::present_run(target.runs_, ages)));
     report.ejected = target.health_.state_ == policy::health_state::ejected;
+    report.suspicion = static_cast<std::int32_t>(
+        percent * policy::faded_suspicion(target.health_.suspicion_,
+                                          now - target.health_.noted_at_));
     report.on_trial = target.health_.state_ == policy::health_state::on_trial;
     return report;
 }
@@ -365,8 +369,7 @@
                    : told.on_trial ? "target_on_trial"
                                    : "target_readmitted",
                    {{"target", target.name_},
-                    {"odds", std::to_string(target.health_.odds_)},
-                    {"ejections", std::to_string(target.health_.ejections_)}});
+                    {"suspicion_percent", std::to_string(told.suspicion)}});
     wire::frame frame;
     frame.__set_report_(told);
     for (auto& [socket, link] : connections_) {
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -14,9 +14,20 @@
 // What it is worth to keep a large answer within its zone.
 constexpr base::duration download_zone_cost = base::milliseconds(80);
 
+// What was told of a target's runs fades with this time: it may have recovered.
+constexpr double run_memory_s = 3;
+
+// A target on trial is taken as if it were this much faster, so that it is tried soon.
+constexpr double trial_factor = 0.5;
+
 constexpr double warming_factor = 1.3;
 // A needed target that fails is taken as if it were this much slower.
-constexpr double ejected_factor = 3.0;
+constexpr double ejected_factor = 8.0;
+// A target whose path is not open is taken as if it were this much slower.
+constexpr double avoided_factor = 3.0;
+// A request that must not run twice goes where it most likely succeeds: a target that surely fails
+// is taken as if it were this much slower.
+constexpr double suspected_factor = 5.0;
 // A target whose slots are all but taken is this much slower than an idle one.
 constexpr double full_factor = 0.35;
 // Width of the draw between targets that are about equal.
@@ -70,7 +81,11 @@
 
 base::duration expected_finish(const candidate& target, const choice_wish& wish,
                                base::duration usual) {
-    base::duration run = target.run_ > base::duration::zero() ? target.run_ : usual;
+    base::duration run = usual;
+    if (target.run_ > base::duration::zero()) {
+        const std::chrono::duration<double> age = target.run_age_;
+        run += times(target.run_ - usual, std::exp(-age.count() / run_memory_s));
+    }
     if (target.warming_) {
         run = times(run, warming_factor);
     }
@@ -97,9 +112,14 @@
             double factor = 1 + draw_width * draw;
             if (out) {
                 factor *= ejected_factor;
+            } else if (one.on_trial_) {
+                factor *= trial_factor;
             }
             if (one.avoided_) {
-                factor *= ejected_factor;
+                factor *= avoided_factor;
+            }
+            if (!wish.idempotent_) {
+                factor *= 1 + (suspected_factor - 1) * one.suspicion_;
             }
             const base::duration finish = times(expected_finish(one, wish, usual), factor);
             if (!best || finish < best->finish_) {
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -23,6 +23,8 @@
     int slots_ = 1;
     // Time that a run takes there; zero if nobody has told.
     base::duration run_{};
+    // Since that was told.
+    base::duration run_age_{};
     // It was started a short while ago.
     bool warming_ = false;
     // The path to it is not open at present.
@@ -31,6 +33,8 @@
     bool ejected_ = false;
     // It takes single idempotent requests until one succeeds.
     bool on_trial_ = false;
+    // Probability that it is failing.
+    double suspicion_ = 0;
     // It must not get the request: it leaves, or was tried.
     bool excluded_ = false;
 };
--- a/src/policy/target_health.h
+++ b/src/policy/target_health.h
@@ -1,8 +1,8 @@
 // Whether a target that answers its health checks fails its requests all the same.
 //
-// Pattern: outlier ejection by sequential evidence. Each outcome moves the odds that the target is
-// failing; above even odds it is ejected for a hold-off, after which single idempotent requests
-// try it out.
+// Pattern: outlier ejection by Bayesian evidence. A target is sound or failing, and changes between
+// the two by itself. Each outcome moves the probability that it is failing at present; above one
+// half it is ejected for a hold-off, after which single idempotent requests try it out.
 #pragma once
 
 #include "base/clock.h"
@@ -11,21 +11,23 @@
 
 enum class health_state { healthy, ejected, on_trial };
 
+// Probability that a target of which nothing is known is failing.
+inline constexpr double usual_suspicion = 0.25;
+
 struct target_health {
     health_state state_ = health_state::healthy;
-    // Logarithm of the odds that the target is failing.
-    double odds_ = -3;
+    // Probability that the target is failing, as of noted_at_.
+    double suspicion_ = usual_suspicion;
     base::instant noted_at_{};
-    base::instant ejected_at_{};
     base::instant trial_from_{};
-    // Ejections in a row without a lasting recovery between them.
-    int ejections_ = 0;
-    int trial_successes_ = 0;
     bool trial_running_ = false;
 };
 
 enum class run_outcome { succeeded, failed };
 
+// The probability after a time in which nothing was heard: the evidence fades.
+double faded_suspicion(double suspicion, base::duration age);
+
 // Takes note of the outcome of a run. Returns true if the state changed.
 bool note_outcome(target_health& health, run_outcome outcome, base::instant now);
 
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -32,6 +32,8 @@
     6: bool ejected
     // It takes single idempotent requests until one succeeds.
     7: bool on_trial
+    // Probability that the target is failing, in percent.
+    8: i32 suspicion
 }
 
 // First frame on a link, from the side that opened it.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -580,6 +580,10 @@
 void target_report::__set_on_trial(const bool val) {
   this->on_trial = val;
 }
+
+void target_report::__set_suspicion(const int32_t val) {
+  this->suspicion = val;
+}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -664,6 +668,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->suspicion);
+          this->__isset.suspicion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -709,6 +721,10 @@
   xfer += oprot->writeBool(this->on_trial);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspicion", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->suspicion);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -723,6 +739,7 @@
   swap(a.run_ms, b.run_ms);
   swap(a.ejected, b.ejected);
   swap(a.on_trial, b.on_trial);
+  swap(a.suspicion, b.suspicion);
   swap(a.__isset, b.__isset);
 }
 
@@ -734,6 +751,7 @@
   run_ms = other12.run_ms;
   ejected = other12.ejected;
   on_trial = other12.on_trial;
+  suspicion = other12.suspicion;
   __isset = other12.__isset;
 }
 target_report::target_report(target_report&& other13) noexcept {
@@ -744,6 +762,7 @@
   run_ms = other13.run_ms;
   ejected = other13.ejected;
   on_trial = other13.on_trial;
+  suspicion = other13.suspicion;
   __isset = other13.__isset;
 }
 target_report& target_report::operator=(const target_report& other14) {
@@ -754,6 +773,7 @@
   run_ms = other14.run_ms;
   ejected = other14.ejected;
   on_trial = other14.on_trial;
+  suspicion = other14.suspicion;
   __isset = other14.__isset;
   return *this;
 }
@@ -765,6 +785,7 @@
   run_ms = other15.run_ms;
   ejected = other15.ejected;
   on_trial = other15.on_trial;
+  suspicion = other15.suspicion;
   __isset = other15.__isset;
   return *this;
 }
@@ -778,6 +799,7 @@
   out << ", " << "run_ms=" << to_string(run_ms);
   out << ", " << "ejected=" << to_string(ejected);
   out << ", " << "on_trial=" << to_string(on_trial);
+  out << ", " << "suspicion=" << to_string(suspicion);
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _target_report__isset {
-  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false) {}
+  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false) {}
   bool target :1;
   bool running :1;
   bool waiting :1;
@@ -303,6 +303,7 @@
   bool run_ms :1;
   bool ejected :1;
   bool on_trial :1;
+  bool suspicion :1;
 } _target_report__isset;
 
 class target_report : public virtual ::apache::thrift::TBase {
@@ -319,7 +320,8 @@
                   slots(0),
                   run_ms(0),
                   ejected(0),
-                  on_trial(0) {
+                  on_trial(0),
+                  suspicion(0) {
   }
 
   virtual ~target_report() noexcept;
@@ -330,6 +332,7 @@
   int32_t run_ms;
   bool ejected;
   bool on_trial;
+  int32_t suspicion;
 
   _target_report__isset __isset;
 
@@ -347,6 +350,8 @@
 
   void __set_on_trial(const bool val);
 
+  void __set_suspicion(const int32_t val);
+
   bool operator == (const target_report & rhs) const
   {
     if (!(target == rhs.target))
@@ -363,6 +368,8 @@
       return false;
     if (!(on_trial == rhs.on_trial))
       return false;
+    if (!(suspicion == rhs.suspicion))
+      return false;
     return true;
   }
   bool operator != (const target_report &rhs) const {
