Reserve retries for nested requests, count the calls of repeated runs, answer all at the end of a stop

BUDGET: nested requests that repeated runs make count as retries in proportion to the repeats that run here, so 0.75 of the budget can be used. Where no path can be opened a request is refused at once, a lost link is waited for 2 s at most.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -23,6 +23,8 @@
 constexpr int first_server_error = 500;
 constexpr base::duration short_retry = base::milliseconds(300);
 constexpr std::uint64_t credit_step = 32 * 1024;
+// Time for which a guard whose link was lost is waited for.
+constexpr base::duration longest_doubt = base::seconds(2);
 constexpr base::duration longest_quota_wait = base::milliseconds(500);
 
 // Guards that are asked for a free slot before the request waits for one.
@@ -108,10 +110,12 @@
                                   : base::duration::zero();
     context_.freshness_bound_ = owner.parts_.settings_.freshness_bound_;
     owner_.parts_.metrics_.count_request();
+    owner_.calls_.insert(this);
     begin();
 }
 
 call::~call() {
+    owner_.calls_.erase(this);
     if (nested_ && !over_) {
         // Its caller gave it up.
         owner_.parts_.on_failed_call_();
@@ -140,7 +144,8 @@
     }
     deadline_ = began_ + patience;
     deadline_timer_.start(patience, [this] { on_deadline(); });
-    policy::note_request(owner_.retries_[context_.service_->name_], owner_.retry_limits(), began_);
+    policy::note_request(owner_.retries_[context_.service_->name_], owner_.retry_limits(),
+                         nested_ ? owner_.parts_.repeated_part_() : 0, began_);
     body_ended_ = !context_.request_.chunked_ && context_.request_.body_length_.value_or(0) == 0;
     if (body_at_hand()) {
         admit();
@@ -239,6 +244,7 @@
     begin.allow_ejected = chosen.allow_ejected_;
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
+    begin.repeat = attempts_ > 0;
     const base::duration objective = context_.route_->objective_;
     if (objective > base::duration::zero()) {
         const auto left = base::whole_ms(began_ + objective - owner_.parts_.loop_.clock().now());
@@ -465,6 +471,7 @@
 void call::pass_failure_on() {
     const held_failure failure = std::move(*failure_);
     failure_.reset();
+    record("failure_passed_on", context_.service_->name_, time_left());
     forward_head(failure.head_);
     exchange_.send_body(failure.body_);
     finish_answer();
@@ -578,6 +585,7 @@
     question.most_attempts_ = context_.route_->attempts_;
     question.maybe_ran_before_ = maybe_ran_;
     question.free_ = free;
+    question.nested_ = nested_;
     question.time_left_ = time_left();
     const auto other = choose();
     question.other_target_ = other.has_value();
@@ -588,6 +596,8 @@
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_.erase(attempt_->target_);
+        // The guard is asked as long as it may answer soon, not for ever.
+        deadline_timer_.start(std::min(time_left(), longest_doubt), [this] { on_deadline(); });
         return;
     }
     const std::string target = attempt_->target_;
@@ -614,6 +624,12 @@
     }
 }
 
+void call::end_now() {
+    if (!over_ && !head_sent_) {
+        on_deadline();
+    }
+}
+
 void call::on_deadline() {
     const bool written = attempt_ != nullptr && attempt_->written_;
     leave_attempt();
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -26,6 +26,9 @@
     call& operator=(const call&) = delete;
     ~call() override;
 
+    // Gives the caller its final answer, as at its deadline.
+    void end_now();
+
     void on_body(std::string_view bytes) override;
     void on_body_end() override;
     void on_sent(std::size_t bytes) override;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -14,8 +14,9 @@
 // A host that still drains after this time says so again when it refuses an attempt.
 constexpr base::duration draining_belief = base::seconds(10);
 
-// Part of the fleet's retry budget that the entries use, since each counts for itself.
-constexpr double budget_part = 0.5;
+// Part of the fleet's retry budget that the entries use: each counts for itself, and the load is not
+// the same everywhere.
+constexpr double budget_part = 0.75;
 
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
     for (const config::zone_rule& rule : rules.zones_) {
@@ -69,6 +70,12 @@
     draining_[parts_.settings_.host_] = base::instant::max();
 }
 
+void entry::answer_all() {
+    for (call* open : std::set<call*>(calls_)) {
+        open->end_now();
+    }
+}
+
 void entry::stop_listening() {
     listening_ = false;
     server_->stop_listening();
@@ -114,6 +121,7 @@
         target.slots_ > 0 ? target.slots_ : config::slots_of(rules, service, target.name_);
     candidate.warming_ = target.warming_;
     candidate.avoided_ = link != nullptr && link->unsure();
+    candidate.unreachable_ = link != nullptr && link->failing();
     candidate.excluded_ =
         host.leaving_ || is_draining(host.name_) || !config::target_in(rules, target.name_);
     if (view != nullptr) {
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -49,6 +49,8 @@
     observe::event_log& events_;
     // A call that this host's target made while it ran a request has failed.
     std::function<void()> on_failed_call_;
+    // Part of the runs under way at this host's targets that are repeats.
+    std::function<double()> repeated_part_;
 };
 
 class entry {
@@ -71,6 +73,9 @@
 
     void note_report(const wire::target_report& report);
 
+    // The process ends soon: every open request gets its final answer now.
+    void answer_all();
+
     // Requests that were not answered to their end.
     std::size_t open_calls() const { return server_->open_exchanges(); }
 
@@ -99,6 +104,7 @@
     target_views views_;
     // By service.
     std::unordered_map<std::string, policy::retry_budget> retries_;
+    std::set<call*> calls_;
     // Hosts that said they are draining, and until when that is believed.
     std::unordered_map<std::string, base::instant> draining_;
 };
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -75,6 +75,9 @@
     // so that its entry can go elsewhere.
     void on_configuration_changed();
 
+    // Part of the runs under way that are repeats.
+    double repeated_part() const;
+
     // Connections to targets opened so far.
     std::uint64_t connections_opened() const;
 
--- a/src/node/guard_link.cpp
+++ b/src/node/guard_link.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr base::duration connect_bound = base::milliseconds(1000);
+constexpr base::duration connect_bound = base::milliseconds(400);
 constexpr base::duration ping_interval = base::milliseconds(300);
 constexpr base::duration idle_bound = base::seconds(30);
 constexpr base::duration shortest_reconnect = base::milliseconds(50);
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -396,6 +396,16 @@
     check_timer_.start(check_interval, [this] { check_targets(); });
 }
 
+double guard::repeated_part() const {
+    double running = 0;
+    double repeats = 0;
+    for (const auto& [key, attempt] : attempts_) {
+        running += attempt->running() ? 1 : 0;
+        repeats += attempt->running() && attempt->begin().repeat ? 1 : 0;
+    }
+    return running > 0 ? repeats / running : 0;
+}
+
 std::uint64_t guard::connections_opened() const {
     std::uint64_t opened = 0;
     for (const auto& [name, target] : targets_) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,8 @@
 // Questions to each host of the zone within the bound on the age of their answers.
 constexpr int questions_a_view = 4;
 constexpr base::duration drain_check_interval = base::milliseconds(50);
+// Requests that are still open this long before the bound of a planned stop are answered.
+constexpr base::duration last_answers = base::milliseconds(250);
 // Checks in a row that find nothing in flight before the process ends.
 constexpr int flush_checks = 2;
 constexpr int status_ok = 200;
@@ -113,7 +115,8 @@
     guard_ = std::move(*opened_guard);
     auto opened_entry =
         entry::create({*loop_, settings_, environment_.headers_, identity_, configuration_, quota_,
-                       *links_, metrics_, events_, [this] { guard_->note_failed_call(); }});
+                       *links_, metrics_, events_, [this] { guard_->note_failed_call(); },
+                                       [this] { return guard_->repeated_part(); }});
     if (!opened_entry) {
         return tl::unexpected(opened_entry.error());
     }
@@ -234,6 +237,9 @@
     }
     const bool over =
         (!entry_->listening() && quiet_checks_ > flush_checks) || passed >= settings_.drain_bound_;
+    if (passed >= settings_.drain_bound_ - last_answers) {
+        entry_->answer_all();
+    }
     if (!over) {
         drain_timer_->start(drain_check_interval, [this] { check_drained(); });
         return;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -17,7 +17,8 @@
 // What was told of a target's runs fades with this time: it may have recovered.
 constexpr double run_memory_s = 3;
 
-// A target on trial is taken as if it were this much faster, so that it is tried soon.
+// A target on trial, or of which nothing is known, is taken as if it were this much faster, so that
+// it is tried soon.
 constexpr double trial_factor = 0.5;
 
 constexpr double warming_factor = 1.3;
@@ -105,14 +106,14 @@
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             const candidate& one = candidates[i];
             const bool out = out_of_use(one, wish);
-            if (one.excluded_ || (!pressed && (one.avoided_ || (out && !needs_ejected)))) {
+            if (one.excluded_ || one.unreachable_ || (!pressed && (one.avoided_ || (out && !needs_ejected)))) {
                 continue;
             }
             const double draw = static_cast<double>(base::random_below(random, 1000)) / 1000;
             double factor = 1 + draw_width * draw;
             if (out) {
                 factor *= ejected_factor;
-            } else if (one.on_trial_) {
+            } else if (one.on_trial_ || (wish.idempotent_ && one.run_ == base::duration::zero())) {
                 factor *= trial_factor;
             }
             if (one.avoided_) {
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -29,6 +29,8 @@
     bool warming_ = false;
     // The path to it is not open at present.
     bool avoided_ = false;
+    // The path could not be opened more than once.
+    bool unreachable_ = false;
     // Its guard says that it fails its requests.
     bool ejected_ = false;
     // It takes single idempotent requests until one succeeds.
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -35,11 +35,15 @@
 
 }  // namespace
 
-void note_request(retry_budget& budget, const retry_limits& limits, base::instant now) {
-    ++interval_at(budget, limits, now).requests_;
+void note_request(retry_budget& budget, const retry_limits& limits, double repeated,
+                  base::instant now) {
+    retry_budget::interval& interval = interval_at(budget, limits, now);
+    interval.requests_ += 1;
+    interval.retries_ += repeated;
 }
 
-bool has_room(const retry_budget& budget, const retry_limits& limits, base::instant now) {
+bool has_room(const retry_budget& budget, const retry_limits& limits, double part,
+              base::instant now) {
     double requests = 0;
     double retries = 0;
     const base::duration length = limits.window_ / intervals_a_window;
@@ -49,15 +53,16 @@
         requests += age < limits.window_ ? one.requests_ : 0;
         retries += age < limits.window_ + length ? one.retries_ : 0;
     }
-    return retries + 1 <= limits.ratio_ * requests + limits.slack_;
+    return retries + 1 <= part * (limits.ratio_ * requests + limits.slack_);
 }
 
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_question& question, base::instant now) {
+    const double part = question.nested_ ? 1 : 1 - nested_reserve;
     if (may_run_again(question) && can_run_again(question) &&
-        (question.free_ || has_room(budget, limits, now))) {
+        (question.free_ || has_room(budget, limits, part, now))) {
         if (!question.free_) {
-            ++interval_at(budget, limits, now).retries_;
+            interval_at(budget, limits, now).retries_ += 1;
         }
         return retry_decision::retry;
     }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -45,8 +45,8 @@
 struct retry_budget {
     struct interval {
         base::instant began_{};
-        int requests_ = 0;
-        int retries_ = 0;
+        double requests_ = 0;
+        double retries_ = 0;
     };
     std::deque<interval> intervals_;
 };
@@ -64,16 +64,24 @@
     bool other_target_ = false;
     // The attempt that ended reached no target: another one costs no budget.
     bool free_ = false;
+    // A request of a running request: its failure costs that one's run as well.
+    bool nested_ = false;
     base::duration time_left_{};
     // Time that another run would take.
     base::duration run_{};
 };
 
-// Counts a new request towards the budget.
-void note_request(retry_budget& budget, const retry_limits& limits, base::instant now);
+// Part of the budget that only nested requests may use.
+inline constexpr double nested_reserve = 0.3;
 
-// True if another retry fits into the budget.
-bool has_room(const retry_budget& budget, const retry_limits& limits, base::instant now);
+// Counts a new request towards the budget. `repeated` is the probability that a repeated run made
+// it: it then counts as a retry.
+void note_request(retry_budget& budget, const retry_limits& limits, double repeated,
+                  base::instant now);
+
+// True if another retry fits into that part of the budget.
+bool has_room(const retry_budget& budget, const retry_limits& limits, double part,
+              base::instant now);
 
 // Decides, and charges the budget for a retry.
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -86,6 +86,8 @@
     // The body comes in chunks, without a length.
     21: bool chunked_body
     22: bool download
+    // Another target had the request before.
+    23: bool repeat
 }
 
 struct body_part {
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -1298,6 +1298,10 @@
 void attempt_begin::__set_download(const bool val) {
   this->download = val;
 }
+
+void attempt_begin::__set_repeat(const bool val) {
+  this->repeat = val;
+}
 std::ostream& operator<<(std::ostream& out, const attempt_begin& obj)
 {
   obj.printTo(out);
@@ -1514,6 +1518,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeat);
+          this->__isset.repeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1628,6 +1640,10 @@
   xfer += oprot->writeBool(this->download);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeat", ::apache::thrift::protocol::T_BOOL, 23);
+  xfer += oprot->writeBool(this->repeat);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1657,6 +1673,7 @@
   swap(a.allow_ejected, b.allow_ejected);
   swap(a.chunked_body, b.chunked_body);
   swap(a.download, b.download);
+  swap(a.repeat, b.repeat);
   swap(a.__isset, b.__isset);
 }
 
@@ -1683,6 +1700,7 @@
   allow_ejected = other30.allow_ejected;
   chunked_body = other30.chunked_body;
   download = other30.download;
+  repeat = other30.repeat;
   __isset = other30.__isset;
 }
 attempt_begin::attempt_begin(attempt_begin&& other31) noexcept {
@@ -1708,6 +1726,7 @@
   allow_ejected = other31.allow_ejected;
   chunked_body = other31.chunked_body;
   download = other31.download;
+  repeat = other31.repeat;
   __isset = other31.__isset;
 }
 attempt_begin& attempt_begin::operator=(const attempt_begin& other32) {
@@ -1733,6 +1752,7 @@
   allow_ejected = other32.allow_ejected;
   chunked_body = other32.chunked_body;
   download = other32.download;
+  repeat = other32.repeat;
   __isset = other32.__isset;
   return *this;
 }
@@ -1759,6 +1779,7 @@
   allow_ejected = other33.allow_ejected;
   chunked_body = other33.chunked_body;
   download = other33.download;
+  repeat = other33.repeat;
   __isset = other33.__isset;
   return *this;
 }
@@ -1787,6 +1808,7 @@
   out << ", " << "allow_ejected=" << to_string(allow_ejected);
   out << ", " << "chunked_body=" << to_string(chunked_body);
   out << ", " << "download=" << to_string(download);
+  out << ", " << "repeat=" << to_string(repeat);
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -541,7 +541,7 @@
 std::ostream& operator<<(std::ostream& out, const welcome& obj);
 
 typedef struct _attempt_begin__isset {
-  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false) {}
+  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false), repeat(false) {}
   bool attempt :1;
   bool guard_boot :1;
   bool request_id :1;
@@ -564,6 +564,7 @@
   bool allow_ejected :1;
   bool chunked_body :1;
   bool download :1;
+  bool repeat :1;
 } _attempt_begin__isset;
 
 class attempt_begin : public virtual ::apache::thrift::TBase {
@@ -593,7 +594,8 @@
                   may_wait(0),
                   allow_ejected(0),
                   chunked_body(0),
-                  download(0) {
+                  download(0),
+                  repeat(0) {
   }
 
   virtual ~attempt_begin() noexcept;
@@ -619,6 +621,7 @@
   bool allow_ejected;
   bool chunked_body;
   bool download;
+  bool repeat;
 
   _attempt_begin__isset __isset;
 
@@ -666,6 +669,8 @@
 
   void __set_download(const bool val);
 
+  void __set_repeat(const bool val);
+
   bool operator == (const attempt_begin & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -714,6 +719,8 @@
       return false;
     if (!(download == rhs.download))
       return false;
+    if (!(repeat == rhs.repeat))
+      return false;
     return true;
   }
   bool operator != (const attempt_begin &rhs) const {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -98,6 +98,7 @@
     question.replayable_ = true;
     question.other_target_ = true;
     question.time_left_ = base::seconds(1);
+    question.nested_ = true;
     std::vector<base::instant> retries;
     std::vector<base::instant> requests;
     base::random_engine random(5);
@@ -105,7 +106,7 @@
     for (int i = 0; i < 3000; ++i) {
         // Quiet times and crowds in turn.
         now += base::milliseconds(base::random_below(random, i % 1000 < 500 ? 200 : 5));
-        note_request(budget, limits, now);
+        note_request(budget, limits, 0, now);
         requests.push_back(now);
         for (int more = 0; more < 3; ++more) {
             if (decide_retry(budget, limits, question, now) == retry_decision::retry) {
@@ -123,6 +124,25 @@
         CHECK(static_cast<double>(made) <=
               limits.ratio_ * static_cast<double>(asked) + limits.slack_);
     }
+    // What is left is for nested requests.
+    const auto count = [&](bool nested) {
+        retry_budget fresh;
+        note_request(fresh, limits, 0, now);
+        question.nested_ = nested;
+        int made = 0;
+        while (decide_retry(fresh, limits, question, now) == retry_decision::retry) {
+            ++made;
+        }
+        return made;
+    };
+    CHECK(count(true) == 5);
+    CHECK(count(false) == 3);
+    // Requests that repeated runs make use the budget up.
+    retry_budget repeated;
+    for (int i = 0; i < 20; ++i) {
+        note_request(repeated, limits, 0.5, now);
+    }
+    CHECK_FALSE(has_room(repeated, limits, 1, now));
     // What reached no target costs nothing.
     question.free_ = true;
     CHECK(decide_retry(budget, limits, question, now) == retry_decision::retry);
@@ -230,6 +250,17 @@
     CHECK(choose_target(targets, order, random)->index_ == 1U);
     targets[1].avoided_ = true;
     CHECK(choose_target(targets, order, random)->index_ == 0U);
+    // A path that is not open may have to do, one that cannot be opened never.
+    targets[0].avoided_ = true;
+    targets[2].avoided_ = true;
+    CHECK(choose_target(targets, order, random));
+    for (candidate& one : targets) {
+        one.unreachable_ = true;
+    }
+    CHECK_FALSE(choose_target(targets, order, random));
+    for (candidate& one : targets) {
+        one.unreachable_ = false;
+    }
     targets[0].excluded_ = targets[1].excluded_ = targets[2].excluded_ = true;
     CHECK_FALSE(choose_target(targets, order, random));
 }
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -113,3 +113,18 @@
     CHECK(held.get().status_ == 200);
     CHECK(fleet.target("t1").total_runs() == 1);
 }
+
+TEST_CASE("a request that outlasts the bound of a planned stop is answered", "[promise-planned-stop]") {
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s");
+    plan.extra_settings_ += "drain_bound = 2s\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
+    auto held = send_in_background(order(fleet, "h1", "a", "POST"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
+    fleet.host("h1").send_signal(SIGTERM);
+    const auto answer = held.get();
+    CHECK(answer.whole_);
+    CHECK(answer.outcome() == "unknown");
+    CHECK(fleet.host("h1").wait() == 0);
+}
