--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -14,6 +14,9 @@
 // A host that still drains after this time says so again when it refuses an attempt.
 constexpr base::duration draining_belief = base::seconds(10);
 
+// A target that asked for work has got some after this time.
+constexpr base::duration idle_memory = base::milliseconds(500);
+
 // Part of the fleet's retry budget that the entries use: each counts for itself, and the load is not
 // the same everywhere.
 constexpr double budget_part = 0.75;
@@ -40,7 +43,10 @@
 
 entry::entry(entry_parts parts) : parts_(std::move(parts)), random_(base::make_random_engine()) {}
 
-entry::~entry() = default;
+// Calls that end with their connections still use what the entry keeps.
+entry::~entry() {
+    server_.reset();
+}
 
 base::result<std::unique_ptr<entry>> entry::create(entry_parts parts) {
     std::unique_ptr<entry> made(new entry(std::move(parts)));
@@ -130,6 +136,7 @@
         constexpr double percent = 100;
         candidate.suspicion_ =
             policy::faded_suspicion(view->report_.suspicion / percent, candidate.run_age_);
+        candidate.idle_ = view->report_.idle && candidate.run_age_ < idle_memory;
         candidate.ejected_ = view->report_.ejected;
         candidate.on_trial_ = view->report_.on_trial;
     }
--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -49,7 +49,8 @@
       events_(events),
       listener_(listener),
       forget_timer_(loop),
-      check_timer_(loop) {
+      check_timer_(loop),
+      random_(base::make_random_engine()) {
     check_targets();
     forget_timer_.start(forget_interval, [this] { forget_gone_entries(); });
     ledger_.boot_ = identity.boot_;
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "config/header_policy.h"
 #include "config/host_list.h"
 #include "config/settings.h"
@@ -100,6 +101,9 @@
         policy::run_estimates runs_;
         int in_flight_ = 0;
         int slots_ = 1;
+        // When a run began last, and when entries were asked for one.
+        base::instant used_at_{};
+        base::instant asked_at_{};
     };
 
     // Names a link across all entries.
@@ -142,6 +146,7 @@
     bool failed_by_target(const guard_attempt& attempt, attempt_end end) const;
     wire::target_report report(const target_state& target) const;
     void tell_all(const target_state& target);
+    void ask_for_work(target_state& target);
     void check_targets();
     void finish(guard_attempt& attempt);
     void retire(std::unique_ptr<guard_attempt> attempt);
@@ -173,6 +178,7 @@
     std::map<std::int64_t, base::instant> gone_since_;
     net::timer forget_timer_;
     net::timer check_timer_;
+    base::random_engine random_;
     base::instant last_failed_call_{};
     guard_counters counters_;
     bool draining_ = false;
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -16,6 +16,10 @@
 constexpr int hung_runs = 3;
 constexpr int first_server_error = 500;
 constexpr double percent = 100;
+// A target without a run for this long is in want of one; entries are asked this often.
+constexpr base::duration idle_bound = base::milliseconds(1000);
+constexpr base::duration ask_interval = base::milliseconds(400);
+constexpr std::size_t asked_entries = 6;
 
 wire::frame failure_frame(const guard_attempt& attempt, wire::failure_reason reason) {
     wire::frame frame;
@@ -233,6 +237,7 @@
     ++counters_.started_;
     target_state& state = targets_[target];
     ++state.in_flight_;
+    state.used_at_ = loop_.clock().now();
     policy::begin_trial(state.health_);
     attempt.run(*state.pool_);
 }
@@ -379,6 +384,33 @@
     }
 }
 
+// A target that nobody uses may fail unnoticed, or have recovered unnoticed: a few entries are asked
+// for an idempotent request.
+void guard::ask_for_work(target_state& target) {
+    const base::instant now = loop_.clock().now();
+    const bool due = target.in_flight_ == 0 && now - target.used_at_ > idle_bound &&
+                     now - target.asked_at_ > ask_interval;
+    if (!due || draining_ || target.health_.state_ == policy::health_state::ejected ||
+        connections_.empty()) {
+        return;
+    }
+    target.asked_at_ = now;
+    wire::frame frame;
+    frame.__set_report_(report(target));
+    frame.report_.idle = true;
+    auto link = connections_.begin();
+    std::advance(link, static_cast<std::ptrdiff_t>(
+                           base::random_below(random_, connections_.size())));
+    for (std::size_t asked = 0; asked < std::min(asked_entries, connections_.size()); ++asked) {
+        if (link->second.welcomed_) {
+            link->second.socket_->send(frame);
+        }
+        if (++link == connections_.end()) {
+            link = connections_.begin();
+        }
+    }
+}
+
 void guard::check_targets() {
     const base::instant now = loop_.clock().now();
     std::vector<std::string> names;
@@ -389,6 +421,7 @@
         if (!target.queue_.waiting_.empty()) {
             names.push_back(name);
         }
+        ask_for_work(target);
     }
     for (const std::string& name : names) {
         pump(name);
--- a/src/node/target_views.cpp
+++ b/src/node/target_views.cpp
@@ -24,6 +24,12 @@
     view.in_flight_at_report_ = view.in_flight_;
 }
 
+void target_views::begin_attempt(const std::string& target) {
+    target_view& view = views_[target];
+    ++view.in_flight_;
+    view.report_.idle = false;
+}
+
 void target_views::end_attempt(const std::string& target) {
     target_view& view = views_[target];
     view.in_flight_ = std::max(0, view.in_flight_ - 1);
--- a/src/node/target_views.h
+++ b/src/node/target_views.h
@@ -23,7 +23,7 @@
     // A guard has told how its target is.
     void note(const wire::target_report& report, base::instant now);
 
-    void begin_attempt(const std::string& target) { ++views_[target].in_flight_; }
+    void begin_attempt(const std::string& target);
     void end_attempt(const std::string& target);
 
     // The view of a target, or null if nothing is known.
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -50,6 +50,10 @@
     return target.ejected_ || (target.on_trial_ && !wish.idempotent_);
 }
 
+bool wants_trial(const candidate& target) {
+    return target.on_trial_ || target.idle_ || target.run_ == base::duration::zero();
+}
+
 base::duration usual_run(std::span<const candidate> candidates) {
     base::duration sum{};
     int known = 0;
@@ -113,7 +117,7 @@
             double factor = 1 + draw_width * draw;
             if (out) {
                 factor *= ejected_factor;
-            } else if (one.on_trial_ || (wish.idempotent_ && one.run_ == base::duration::zero())) {
+            } else if (wish.idempotent_ && wants_trial(one)) {
                 factor *= trial_factor;
             }
             if (one.avoided_) {
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -37,6 +37,8 @@
     bool on_trial_ = false;
     // Probability that it is failing.
     double suspicion_ = 0;
+    // It asks for a request that shows how it is.
+    bool idle_ = false;
     // It must not get the request: it leaves, or was tried.
     bool excluded_ = false;
 };
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -34,6 +34,8 @@
     7: bool on_trial
     // Probability that the target is failing, in percent.
     8: i32 suspicion
+    // It has had nothing to do for a while: an idempotent request would show how it is.
+    9: bool idle
 }
 
 // First frame on a link, from the side that opened it.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -584,6 +584,10 @@
 void target_report::__set_suspicion(const int32_t val) {
   this->suspicion = val;
 }
+
+void target_report::__set_idle(const bool val) {
+  this->idle = val;
+}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -676,6 +680,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idle);
+          this->__isset.idle = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -725,6 +737,10 @@
   xfer += oprot->writeI32(this->suspicion);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->idle);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -740,6 +756,7 @@
   swap(a.ejected, b.ejected);
   swap(a.on_trial, b.on_trial);
   swap(a.suspicion, b.suspicion);
+  swap(a.idle, b.idle);
   swap(a.__isset, b.__isset);
 }
 
@@ -752,6 +769,7 @@
   ejected = other12.ejected;
   on_trial = other12.on_trial;
   suspicion = other12.suspicion;
+  idle = other12.idle;
   __isset = other12.__isset;
 }
 target_report::target_report(target_report&& other13) noexcept {
@@ -763,6 +781,7 @@
   ejected = other13.ejected;
   on_trial = other13.on_trial;
   suspicion = other13.suspicion;
+  idle = other13.idle;
   __isset = other13.__isset;
 }
 target_report& target_report::operator=(const target_report& other14) {
@@ -774,6 +793,7 @@
   ejected = other14.ejected;
   on_trial = other14.on_trial;
   suspicion = other14.suspicion;
+  idle = other14.idle;
   __isset = other14.__isset;
   return *this;
 }
@@ -786,6 +806,7 @@
   ejected = other15.ejected;
   on_trial = other15.on_trial;
   suspicion = other15.suspicion;
+  idle = other15.idle;
   __isset = other15.__isset;
   return *this;
 }
@@ -800,6 +821,7 @@
   out << ", " << "ejected=" << to_string(ejected);
   out << ", " << "on_trial=" << to_string(on_trial);
   out << ", " << "suspicion=" << to_string(suspicion);
+  out << ", " << "idle=" << to_string(idle);
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _target_report__isset {
-  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false) {}
+  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false) {}
   bool target :1;
   bool running :1;
   bool waiting :1;
@@ -304,6 +304,7 @@
   bool ejected :1;
   bool on_trial :1;
   bool suspicion :1;
+  bool idle :1;
 } _target_report__isset;
 
 class target_report : public virtual ::apache::thrift::TBase {
@@ -321,7 +322,8 @@
                   run_ms(0),
                   ejected(0),
                   on_trial(0),
-                  suspicion(0) {
+                  suspicion(0),
+                  idle(0) {
   }
 
   virtual ~target_report() noexcept;
@@ -333,6 +335,7 @@
   bool ejected;
   bool on_trial;
   int32_t suspicion;
+  bool idle;
 
   _target_report__isset __isset;
 
@@ -352,6 +355,8 @@
 
   void __set_suspicion(const int32_t val);
 
+  void __set_idle(const bool val);
+
   bool operator == (const target_report & rhs) const
   {
     if (!(target == rhs.target))
@@ -370,6 +375,8 @@
       return false;
     if (!(suspicion == rhs.suspicion))
       return false;
+    if (!(idle == rhs.idle))
+      return false;
     return true;
   }
   bool operator != (const target_report &rhs) const {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -290,6 +290,20 @@
     CHECK(chosen_ejected(10));
 }
 
+TEST_CASE("an idle target that asks for work gets idempotent requests only", "[policy]") {
+    base::random_engine random(7);
+    std::vector<candidate> targets(2);
+    for (candidate& one : targets) {
+        one.run_ = base::milliseconds(500);
+    }
+    targets[0].idle_ = true;
+    targets[0].distance_ = distance::same_region;
+    choice_wish wish;
+    CHECK(choose_target(targets, wish, random)->index_ == 1U);
+    wish.idempotent_ = true;
+    CHECK(choose_target(targets, wish, random)->index_ == 0U);
+}
+
 TEST_CASE("a target on trial gets idempotent requests only", "[policy]") {
     base::random_engine random(7);
     std::vector<candidate> targets(2);
