--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -255,7 +255,7 @@
         started->socket_->listen(*started);
     } else {
         ++opened_;
-        started->socket_ = byte_socket::connect(loop_, server_, *started);
+        started->socket_ = byte_socket::connect(loop_, server_, *started, options_.probes_);
     }
     started->write_head();
     return started;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -117,6 +117,7 @@
     std::size_t most_idle_ = 64;
     // An idle connection is closed after this time.
     base::duration idle_bound_ = base::seconds(4);
+    probe_options probes_;
 };
 
 // Connections to one server that are kept between requests. Outlives its requests.
--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -4,15 +4,27 @@
 
 namespace dandelionridge::net {
 
+namespace {
+
+// A kept connection that rested longer is not taken.
+constexpr base::duration longest_rest = base::seconds(4);
+
+}  // namespace
+
 http_fetch::http_fetch(event_loop& loop, fetch_options options, callback done)
-    : options_(std::move(options)), done_(std::move(done)), timeout_(loop) {
+    : loop_(loop), options_(std::move(options)), done_(std::move(done)), timeout_(loop) {
+    start(longest_rest);
+    timeout_.start(options_.timeout_, [this] { fail("did not answer in time"); });
+}
+
+void http_fetch::start(base::duration freshness) {
     http_request request;
     request.method_ = "GET";
     request.path_ = options_.path_;
     request.host_ = base::to_string(options_.server_);
-    request_ = http_client_request::start(loop, options_.server_, std::move(request), *this,
-                                          options_.probes_);
-    timeout_.start(options_.timeout_, [this] { fail("did not answer in time"); });
+    request_ = options_.pool_ == nullptr
+                   ? http_client_request::start(loop_, options_.server_, std::move(request), *this)
+                   : options_.pool_->start(std::move(request), freshness, *this);
 }
 
 void http_fetch::on_answer(const http_answer& answer) {
@@ -36,8 +48,15 @@
     }
 }
 
+// A kept connection that the server has closed meanwhile: a read may be asked once more.
 void http_fetch::on_failed(client_failure /*failure*/) {
-    fail("cannot be reached");
+    if (!request_->reused() || again_) {
+        fail("cannot be reached");
+        return;
+    }
+    again_ = true;
+    loop_.defer([ended = std::shared_ptr<http_client_request>(std::move(request_))] {});
+    start(base::duration(-1));
 }
 
 void http_fetch::on_request_sent(std::size_t /*bytes*/) {}
--- a/src/net/http_fetch.h
+++ b/src/net/http_fetch.h
@@ -25,7 +25,8 @@
     std::string path_;
     std::size_t most_bytes_ = 2 * 1024 * 1024;
     base::duration timeout_ = base::seconds(5);
-    probe_options probes_;
+    // Connections that are kept between fetches, to the same server; none: each has its own.
+    http_client_pool* pool_ = nullptr;
 };
 
 // One fetch. Cancelled when destroyed; may be destroyed from within its callback.
@@ -45,11 +46,14 @@
     void on_request_sent(std::size_t bytes) override;
 
 private:
+    void start(base::duration freshness);
     void finish(base::result<fetched> outcome);
     void fail(const std::string& what);
 
+    event_loop& loop_;
     fetch_options options_;
     callback done_;
+    bool again_ = false;
     fetched answer_;
     timer timeout_;
     std::unique_ptr<http_client_request> request_;
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t most_remembered = 1000;
+
 int slots_by_rules(const admission_view& view, const std::string& service,
                    const std::string& target) {
     const auto rule = view.rules_.services_.find(service);
@@ -30,6 +32,20 @@
 
 }  // namespace
 
+void note_listed(std::set<std::string>& listed_before, const config::host_list& hosts,
+                 const std::string& host) {
+    const config::host_entry* own = config::find_host(hosts, host);
+    if (own == nullptr) {
+        return;
+    }
+    if (listed_before.size() > most_remembered) {
+        listed_before.clear();
+    }
+    for (const config::target_entry& target : own->targets_) {
+        listed_before.insert(target.name_);
+    }
+}
+
 std::optional<local_target> find_target(const admission_view& view,
                                         const wire::attempt_begin& begin) {
     const config::settings& settings = view.settings_;
@@ -44,7 +60,8 @@
         }
     }
     if (settings.target_.port_ != 0 && settings.target_service_ == begin.service_name) {
-        return local_target{settings.target_, usual_slots(view, begin.service_name), false};
+        const bool gone = view.listed_before_.contains(begin.target_name);
+        return local_target{settings.target_, usual_slots(view, begin.service_name), gone};
     }
     return std::nullopt;
 }
--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -20,8 +21,14 @@
     const config::settings& settings_;
     // Age of the newest evidence that the rules are current; zero if it does not matter.
     base::duration freshness_age_{};
+    // Names of this host's targets that some list had.
+    const std::set<std::string>& listed_before_;
 };
 
+// Takes note of the targets that a list has on this host.
+void note_listed(std::set<std::string>& listed_before, const config::host_list& hosts,
+                 const std::string& host);
+
 // A target of this host.
 struct local_target {
     base::address address_;
@@ -31,8 +38,8 @@
 };
 
 // The target that an attempt names, if it is on this host. Where the settings name the host's one
-// target, a name that the list does not have yet is taken for it: the target itself turns away
-// what is meant for another.
+// target, a name that no list had yet is taken for it: the target itself turns away what is meant
+// for another. One that the list has no more is leaving.
 std::optional<local_target> find_target(const admission_view& view,
                                         const wire::attempt_begin& begin);
 
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -17,8 +17,8 @@
 // A target that asked for work has got some after this time.
 constexpr base::duration idle_memory = base::milliseconds(500);
 
-// Part of the fleet's retry budget that the entries use: each counts for itself, and the load is not
-// the same everywhere.
+// Part of the fleet's retry budget that the entries use: each counts for itself, and the load is
+// not the same everywhere.
 constexpr double budget_part = 0.75;
 
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -213,7 +213,8 @@
 
 admission_view guard::view() const {
     return {*configuration_.rules(), *configuration_.hosts(), settings_,
-            settings_.strict_freshness_ ? identity_.freshness_age_() : base::duration::zero()};
+            settings_.strict_freshness_ ? identity_.freshness_age_() : base::duration::zero(),
+            listed_before_};
 }
 
 void guard::on_cancel(connection& link, const wire::attempt_cancel& cancel) {
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -180,6 +181,7 @@
     net::timer check_timer_;
     base::random_engine random_;
     base::instant last_failed_call_{};
+    std::set<std::string> listed_before_;
     guard_counters counters_;
     bool draining_ = false;
 };
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -17,9 +17,9 @@
 constexpr int first_server_error = 500;
 constexpr double percent = 100;
 // A target without a run for this long is in want of one; entries are asked this often.
-constexpr base::duration idle_bound = base::milliseconds(1000);
+constexpr base::duration idle_bound = base::milliseconds(800);
 constexpr base::duration ask_interval = base::milliseconds(400);
-constexpr std::size_t asked_entries = 6;
+constexpr std::size_t asked_entries = 10;
 
 wire::frame failure_frame(const guard_attempt& attempt, wire::failure_reason reason) {
     wire::frame frame;
@@ -56,6 +56,7 @@
 }
 
 void guard::on_configuration_changed() {
+    note_listed(listed_before_, *configuration_.hosts(), settings_.host_);
     std::vector<guard_attempt*> waiting;
     for (const auto& [id, key] : waiting_) {
         waiting.push_back(attempts_.at(key).get());
@@ -360,8 +361,8 @@
         static_cast<std::int32_t>(base::whole_ms(policy::present_run(target.runs_, ages)));
     report.ejected = target.health_.state_ == policy::health_state::ejected;
     report.suspicion = static_cast<std::int32_t>(
-        percent * policy::faded_suspicion(target.health_.suspicion_,
-                                          now - target.health_.noted_at_));
+        percent *
+        policy::faded_suspicion(target.health_.suspicion_, now - target.health_.noted_at_));
     report.on_trial = target.health_.state_ == policy::health_state::on_trial;
     return report;
 }
@@ -369,12 +370,12 @@
 // Tells every entry how the target is now.
 void guard::tell_all(const target_state& target) {
     const wire::target_report told = report(target);
-    events_.record(loop_.clock().wall_ms(),
-                   told.ejected    ? "target_ejected"
-                   : told.on_trial ? "target_on_trial"
-                                   : "target_readmitted",
-                   {{"target", target.name_},
-                    {"suspicion_percent", std::to_string(told.suspicion)}});
+    events_.record(
+        loop_.clock().wall_ms(),
+        told.ejected    ? "target_ejected"
+        : told.on_trial ? "target_on_trial"
+                        : "target_readmitted",
+        {{"target", target.name_}, {"suspicion_percent", std::to_string(told.suspicion)}});
     wire::frame frame;
     frame.__set_report_(told);
     for (auto& [socket, link] : connections_) {
@@ -384,8 +385,8 @@
     }
 }
 
-// A target that nobody uses may fail unnoticed, or have recovered unnoticed: a few entries are asked
-// for an idempotent request.
+// A target that nobody uses may fail unnoticed, or have recovered unnoticed: a few entries are
+// asked for an idempotent request.
 void guard::ask_for_work(target_state& target) {
     const base::instant now = loop_.clock().now();
     const bool due = target.in_flight_ == 0 && now - target.used_at_ > idle_bound &&
@@ -399,8 +400,8 @@
     frame.__set_report_(report(target));
     frame.report_.idle = true;
     auto link = connections_.begin();
-    std::advance(link, static_cast<std::ptrdiff_t>(
-                           base::random_below(random_, connections_.size())));
+    std::advance(link,
+                 static_cast<std::ptrdiff_t>(base::random_below(random_, connections_.size())));
     for (std::size_t asked = 0; asked < std::min(asked_entries, connections_.size()); ++asked) {
         if (link->second.welcomed_) {
             link->second.socket_->send(frame);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -116,7 +116,7 @@
     auto opened_entry =
         entry::create({*loop_, settings_, environment_.headers_, identity_, configuration_, quota_,
                        *links_, metrics_, events_, [this] { guard_->note_failed_call(); },
-                                       [this] { return guard_->repeated_part(); }});
+                       [this] { return guard_->repeated_part(); }});
     if (!opened_entry) {
         return tl::unexpected(opened_entry.error());
     }
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -31,6 +31,7 @@
 constexpr double suspected_factor = 5.0;
 // A target whose slots are all but taken is this much slower than an idle one.
 constexpr double full_factor = 0.35;
+constexpr double hopeless_suspicion = 0.7;
 // Width of the draw between targets that are about equal.
 constexpr double draw_width = 0.04;
 
@@ -46,6 +47,11 @@
     return wish.download_ ? cost + download_zone_cost : cost;
 }
 
+// So likely failing that an order is better refused than sent there.
+bool hopeless(const candidate& target, const choice_wish& wish) {
+    return !wish.idempotent_ && target.ejected_ && target.suspicion_ > hopeless_suspicion;
+}
+
 bool out_of_use(const candidate& target, const choice_wish& wish) {
     return target.ejected_ || (target.on_trial_ && !wish.idempotent_);
 }
@@ -66,12 +72,15 @@
     return known == 0 ? unknown_run : sum / known;
 }
 
-// Ejected targets that must be in use, so that the floor holds.
+// True if ejections leave less in use than the floor. Targets that surely fail are no capacity that
+// could be given back: they do not count.
 bool below_floor(std::span<const candidate> candidates, const choice_wish& wish) {
-    const auto there = std::count_if(candidates.begin(), candidates.end(),
-                                     [](const candidate& one) { return !one.avoided_; });
+    const auto counts = [](const candidate& one) {
+        return !one.avoided_ && !(one.ejected_ && one.suspicion_ > hopeless_suspicion);
+    };
+    const auto there = std::count_if(candidates.begin(), candidates.end(), counts);
     const auto in_use = std::count_if(candidates.begin(), candidates.end(), [&](const auto& one) {
-        return !one.avoided_ && !out_of_use(one, wish);
+        return counts(one) && !out_of_use(one, wish);
     });
     return static_cast<double>(in_use) < std::ceil(wish.least_share_ * static_cast<double>(there));
 }
@@ -110,7 +119,9 @@
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             const candidate& one = candidates[i];
             const bool out = out_of_use(one, wish);
-            if (one.excluded_ || one.unreachable_ || (!pressed && (one.avoided_ || (out && !needs_ejected)))) {
+            const bool needed = needs_ejected && one.suspicion_ <= hopeless_suspicion;
+            if (one.excluded_ || one.unreachable_ || hopeless(one, wish) ||
+                (!pressed && (one.avoided_ || (out && !needed)))) {
                 continue;
             }
             const double draw = static_cast<double>(base::random_below(random, 1000)) / 1000;
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -20,7 +20,7 @@
 constexpr double eject_above = 0.5;
 constexpr double readmit_below = 0.3;
 
-constexpr base::duration hold_off = base::milliseconds(1300);
+constexpr base::duration hold_off = base::milliseconds(1100);
 // A target without idempotent requests is tried with others after this much more time.
 constexpr base::duration other_trial_wait = base::milliseconds(500);
 
@@ -48,7 +48,8 @@
 }
 
 bool note_outcome(target_health& health, run_outcome outcome, base::instant now) {
-    health.suspicion_ = updated(faded_suspicion(health.suspicion_, now - health.noted_at_), outcome);
+    health.suspicion_ =
+        updated(faded_suspicion(health.suspicion_, now - health.noted_at_), outcome);
     health.noted_at_ = now;
     switch (health.state_) {
         case health_state::healthy:
--- a/tests/platform_decoder_test.cpp
+++ b/tests/platform_decoder_test.cpp
@@ -75,9 +75,9 @@
 }
 
 TEST_CASE("kinds, weights and open routes of a configuration", "[platform][contract]") {
-    const std::string weighted =
-        replaced(route, R"("service":"s1")",
-                 R"("weightedServices":[{"service":"s1","weight":90},{"service":"s2","weight":10}])");
+    const std::string weighted = replaced(
+        route, R"("service":"s1")",
+        R"("weightedServices":[{"service":"s1","weight":90},{"service":"s2","weight":10}])");
     const auto rules = decode_config(
         config_of({replaced(weighted, "non_idempotent", "download"), service, other_service}),
         regions);
@@ -114,12 +114,14 @@
         {"unknown service", config_of({route}), "s1"},
         {"bare route", config_of({replaced(route, R"("host":"a.example",)", ""), service}), "host"},
         {"no weight",
-         config_of({replaced(route, R"("service":"s1")", R"("weightedServices":[{"service":"s1"}])"),
-                    service}),
+         config_of(
+             {replaced(route, R"("service":"s1")", R"("weightedServices":[{"service":"s1"}])"),
+              service}),
          "weight"},
         {"below zero", config_of({replaced(route, "6.5", "-1"), service}), "timeoutS"},
         {"key of another type", config_of({replaced(organisation, R"("k2")", "7")}), "apiKeys"},
-        {"spec of another type", config_of({R"({"type":"routes","metadata":{},"spec":4})"}), "spec"},
+        {"spec of another type", config_of({R"({"type":"routes","metadata":{},"spec":4})"}),
+         "spec"},
     };
     for (const bad_config& one : cases) {
         INFO(one.name_);
@@ -146,8 +148,8 @@
     };
     std::vector<std::string> lines = bad;
     lines.push_back("good " + entry);
-    lines.push_back("leaving " + replaced(replaced(entry, "10.1.0.9", "10.1.0.7"), "ready",
-                                          "draining"));
+    lines.push_back("leaving " +
+                    replaced(replaced(entry, "10.1.0.9", "10.1.0.7"), "ready", "draining"));
     const auto decoded = decode_servers(3, lines, 7640);
     REQUIRE(decoded);
     CHECK(decoded->rejected_.size() == bad.size());
@@ -184,9 +186,9 @@
     CHECK(range->items_.front().value_ == "ab");
     CHECK(range->more_);
     CHECK(range->revision_ == 9);
-    const auto events = decode_watch(
-        R"({"events":[{"key":"servers/a","revision":5,"deleted":true},)"
-        R"({"key":"servers/b","value":"%%","revision":6}],"storeRevision":6})");
+    const auto events =
+        decode_watch(R"({"events":[{"key":"servers/a","revision":5,"deleted":true},)"
+                     R"({"key":"servers/b","value":"%%","revision":6}],"storeRevision":6})");
     REQUIRE(events);
     CHECK(events->items_[0].deleted_);
     // An encoding that cannot be read leaves an entry without bytes, which names no target.
@@ -198,6 +200,5 @@
         CHECK_FALSE(decode_range(bad));
     }
     CHECK(range_path("servers/a b") == "/api/kv-range?prefix=&after=servers/a%20b");
-    CHECK(watch_path(4, 2000, true) ==
-          "/api/kv-watch?prefix=&after=4&waitMs=2000&serializable=1");
+    CHECK(watch_path(4, 2000, true) == "/api/kv-watch?prefix=&after=4&waitMs=2000&serializable=1");
 }
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -107,8 +107,9 @@
 
 TEST_CASE("after each fault of the store what changed meanwhile is learnt",
           "[platform][contract]") {
-    for (const store_fault fault : {store_fault::unavailable, store_fault::over_rate,
-                                    store_fault::reset, store_fault::silent, store_fault::garbage}) {
+    for (const store_fault fault :
+         {store_fault::unavailable, store_fault::over_rate, store_fault::reset, store_fault::silent,
+          store_fault::garbage}) {
         INFO(static_cast<int>(fault));
         store_stub store(where);
         store.put("servers/a", "a");
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -288,6 +288,16 @@
     CHECK(chosen_ejected(4));
     // With all of them out there is nothing better.
     CHECK(chosen_ejected(10));
+    // Targets that surely fail are no capacity: an order is refused sooner than sent there.
+    for (candidate& one : targets) {
+        one.suspicion_ = 0.95;
+    }
+    CHECK_FALSE(choose_target(targets, wish, random));
+    wish.idempotent_ = true;
+    CHECK(choose_target(targets, wish, random));
+    targets[9].ejected_ = false;
+    targets[9].load_ = 1000;
+    CHECK(choose_target(targets, wish, random)->index_ == 9U);
 }
 
 TEST_CASE("an idle target that asks for work gets idempotent requests only", "[policy]") {
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -114,7 +114,8 @@
     CHECK(fleet.target("t1").total_runs() == 1);
 }
 
-TEST_CASE("a request that outlasts the bound of a planned stop is answered", "[promise-planned-stop]") {
+TEST_CASE("a request that outlasts the bound of a planned stop is answered",
+          "[promise-planned-stop]") {
     fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s");
     plan.extra_settings_ += "drain_bound = 2s\n";
     fleet fleet(plan);
--- a/tests/support/store_stub.cpp
+++ b/tests/support/store_stub.cpp
@@ -149,14 +149,13 @@
     thread_.run([&] {
         net::http_server_options options;
         options.address_ = where;
-        server_ =
-            std::move(net::http_server::create(
-                          thread_.loop(), std::move(options),
-                          [this](net::http_exchange& exchange, const net::http_request& request) {
-                              return std::make_unique<store_handler>(*this, exchange,
-                                                                     request.path_);
-                          })
-                          .value());
+        server_ = std::move(
+            net::http_server::create(
+                thread_.loop(), std::move(options),
+                [this](net::http_exchange& exchange, const net::http_request& request) {
+                    return std::make_unique<store_handler>(*this, exchange, request.path_);
+                })
+                .value());
     });
 }
 
