Let a fetch be replaced from within its own callback

Found by the address sanitizer on the process tests: a fetch that was replaced in its callback destroyed the request whose reader was on the stack (values feed; the store's feed deferred it already). The test replaces one fetch by another; it read freed memory under the sanitizer before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -98,6 +98,13 @@
 
 http_client_request::~http_client_request() = default;
 
+void http_client_request::silence() {
+    events_ = nullptr;
+    if (socket_ != nullptr) {
+        socket_->close();
+    }
+}
+
 void http_client_request::new_reader() {
     const answer_body body = request_.method_ == "HEAD" ? answer_body::none : answer_body::expected;
     reader_ = make_answer_reader(*this, answer_limits, body);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -68,6 +68,9 @@
     void pause_answer();
     void resume_answer();
 
+    // The events hear nothing more, and the connection is closed.
+    void silence();
+
     // True if the connection had carried another request before.
     bool reused() const { return reused_; }
 
--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -17,6 +17,14 @@
     timeout_.start(options_.timeout_, [this] { fail("did not answer in time"); });
 }
 
+// The request's own callback may be on the stack.
+http_fetch::~http_fetch() {
+    if (request_ != nullptr) {
+        request_->silence();
+        loop_.defer([ended = std::shared_ptr<http_client_request>(std::move(request_))] {});
+    }
+}
+
 void http_fetch::start(base::duration freshness) {
     http_request request;
     request.method_ = "GET";
@@ -35,7 +43,7 @@
 void http_fetch::on_answer_body(std::string_view bytes) {
     answer_.body_.append(bytes);
     if (answer_.body_.size() > options_.most_bytes_) {
-        request_.reset();
+        request_->silence();
         fail("sent more than " + std::to_string(options_.most_bytes_) + " bytes");
     }
 }
--- a/src/net/http_fetch.h
+++ b/src/net/http_fetch.h
@@ -37,7 +37,7 @@
     http_fetch(event_loop& loop, fetch_options options, callback done);
     http_fetch(const http_fetch&) = delete;
     http_fetch& operator=(const http_fetch&) = delete;
-    ~http_fetch() override = default;
+    ~http_fetch() override;
 
     void on_answer(const http_answer& answer) override;
     void on_answer_body(std::string_view bytes) override;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/http_client.h"
+#include "net/http_fetch.h"
 
 using namespace dandelionridge;
 
@@ -223,3 +224,26 @@
     fetch({"127.0.0.1", 1}, events);
     CHECK(events.outcome_ == "never_sent");
 }
+
+TEST_CASE("a fetch may be replaced by another from within its own callback", "[net][contract]") {
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const scripted_server first({length_head + "hello"}, ending::keep_open);
+    const scripted_server second({length_head + "again"}, ending::keep_open);
+    std::unique_ptr<net::http_fetch> fetch;
+    std::string last;
+    const auto end = [&](const base::result<net::fetched>& outcome) {
+        last = outcome ? outcome->body_ : outcome.error().message_;
+        fetch.reset();
+        loop->stop();
+    };
+    fetch = std::make_unique<net::http_fetch>(
+        *loop, net::fetch_options{.server_ = first.address(), .path_ = "/x"},
+        [&](const base::result<net::fetched>& outcome) {
+            REQUIRE(outcome);
+            fetch = std::make_unique<net::http_fetch>(
+                *loop, net::fetch_options{.server_ = second.address(), .path_ = "/y"}, end);
+        });
+    loop->run();
+    CHECK(last == "again");
+}
