--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -88,7 +88,7 @@
     if (!settings) {
         return usage_error(settings.error().message_);
     }
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
     google::InitGoogleLogging("dandelionridge");
     const base::runtime_clock clock;
     node::environment environment = settings->form_ == config::platform_form::store
--- a/tests/quota_fuzz_test.cpp
+++ b/tests/quota_fuzz_test.cpp
@@ -255,6 +255,7 @@
 
 void simulated_host::set_hosts(const std::vector<std::string>& names, std::int64_t version) {
     std::vector<std::string> lines;
+    lines.reserve(names.size());
     for (const std::string& name : names) {
         lines.push_back(R"({"host":")" + name +
                         R"(","zone":"z1","address":"10.0.0.1:1","state":"live","targets":[]})");
