Serve each job of the path by one piece: failures, run kinds, replies, pulls

From reading the whole change once more; behaviour is meant to stay. Dead and gone: the attempt's may_wait_, next_run_, answer_head.in_flight, gossip's unused peer argument. target_views::forget_old was written and never called: it is now called with each host list, so that views of gone targets do not pile up. Ruled out: the shape-alone rows of constants, constructors and decoders (no shared logic); majority_agreed, which only its test still uses (its assertions stay).

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -22,6 +22,15 @@
     return kind == value_kind::rules ? wire::config_value::rules : wire::config_value::hosts;
 }
 
+// Asks for a value newer than the version that is at hand.
+wire::frame make_pull(value_kind kind, std::int64_t have) {
+    wire::frame frame;
+    frame.__isset.pull_ = true;
+    frame.pull_.value = to_wire(kind);
+    frame.pull_.have = have;
+    return frame;
+}
+
 }  // namespace
 
 gossip::gossip(const base::runtime_clock& clock, configuration& configuration, peer_sender& peers,
@@ -126,8 +135,7 @@
     peers_.send(peer, frame);
 }
 
-wire::view_answer gossip::on_question(const std::string& /*peer*/,
-                                      const wire::view_question& question,
+wire::view_answer gossip::on_question(const wire::view_question& question,
                                       const peer_reply& reply) {
     on_versions(question.versions, reply);
     wire::view_answer answer;
@@ -168,11 +176,7 @@
         return;
     }
     last = now;
-    wire::frame frame;
-    frame.__isset.pull_ = true;
-    frame.pull_.value = to_wire(kind);
-    frame.pull_.have = have;
-    reply(frame);
+    reply(make_pull(kind, have));
 }
 
 void gossip::on_pull(const wire::config_pull& pull, const peer_reply& reply) {
@@ -198,11 +202,7 @@
                                    static_cast<std::uint64_t>(update.digest)};
     const offer_outcome outcome = configuration_.offer_delta(kind, delta);
     if (outcome == offer_outcome::gap) {
-        wire::frame frame;
-        frame.__isset.pull_ = true;
-        frame.pull_.value = to_wire(kind);
-        frame.pull_.have = 0;
-        reply(frame);
+        reply(make_pull(kind, 0));
     }
     return outcome;
 }
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,9 +20,6 @@
 
 namespace dandelionridge::control {
 
-// Sends a frame back to the peer whose message is being handled.
-using peer_reply = std::function<void(const wire::frame&)>;
-
 struct gossip_options {
     std::string host_;
     std::string zone_;
@@ -42,8 +38,7 @@
     void on_hosts_changed();
 
     // Messages of peers.
-    wire::view_answer on_question(const std::string& peer, const wire::view_question& question,
-                                  const peer_reply& reply);
+    wire::view_answer on_question(const wire::view_question& question, const peer_reply& reply);
     void on_answer(const std::string& peer, const wire::view_answer& answer,
                    const peer_reply& reply);
     void on_pull(const wire::config_pull& pull, const peer_reply& reply);
--- a/src/control/peer_sender.h
+++ b/src/control/peer_sender.h
@@ -1,6 +1,7 @@
 // How controllers speak to other processes.
 #pragma once
 
+#include <functional>
 #include <string>
 
 namespace dandelionridge::wire {
@@ -9,6 +10,9 @@
 
 namespace dandelionridge::control {
 
+// Sends a frame back to the peer whose message is being handled; valid during that call only.
+using peer_reply = std::function<void(const wire::frame&)>;
+
 class peer_sender {
 public:
     virtual ~peer_sender() = default;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,7 +1,5 @@
 #include "net/server_connection.h"
 
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "net/http_wire.h"
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "filter/chain.h"
@@ -15,14 +14,9 @@
 
 namespace {
 
-constexpr int status_unauthorized = 401;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-constexpr int first_error = 400;
-constexpr int first_server_error = 500;
-constexpr base::duration short_retry = base::milliseconds(300);
-constexpr std::uint64_t credit_step = 32 * 1024;
+
 // Time for which a guard whose link was lost is waited for.
 constexpr base::duration longest_doubt = base::seconds(2);
 constexpr base::duration longest_quota_wait = base::milliseconds(500);
@@ -32,8 +26,6 @@
 // Refusals by guards after which the caller is refused.
 constexpr int most_refusals = 10;
 
-constexpr std::string_view request_id_header = "x-request-id";
-
 std::string request_id_of(const net::http_request& request, base::random_engine& random) {
     constexpr std::size_t longest = 128;
     const std::string* given = net::find_header(request.headers_, request_id_header);
@@ -85,14 +77,6 @@
     return field;
 }
 
-// Seconds with three places.
-std::string seconds_text(base::duration value) {
-    const std::int64_t ms = std::max<std::int64_t>(1, base::whole_ms(value));
-    std::string fraction = std::to_string(ms % 1000);
-    fraction.insert(0, 3 - fraction.size(), '0');
-    return std::to_string(ms / 1000) + "." + fraction;
-}
-
 }  // namespace
 
 call::call(entry& owner, net::http_exchange& exchange, net::http_request request)
@@ -151,12 +135,16 @@
     deadline_timer_.start(patience, [this] { on_deadline(); });
     policy::note_request(owner_.retries_[context_.service_->name_], owner_.retry_limits(),
                          nested_ ? owner_.parts_.repeated_part_() : 0, began_);
-    body_ended_ = !context_.request_.chunked_ && context_.request_.body_length_.value_or(0) == 0;
+    body_ended_ = !has_body();
     if (body_at_hand()) {
         admit();
     }
 }
 
+bool call::has_body() const {
+    return context_.request_.chunked_ || context_.request_.body_length_.value_or(0) > 0;
+}
+
 // A short body is read before a target is asked, so that no slot waits for a slow caller.
 bool call::body_at_hand() const {
     return body_ended_ || context_.request_.body_length_.value_or(0) > request_window ||
@@ -222,8 +210,6 @@
     attempt_ = std::make_unique<current_attempt>();
     attempt_->link_ = &owner_.parts_.links_.to(*chosen->host_);
     attempt_->target_ = chosen->target_->name_;
-    attempt_->may_wait_ = may_wait_;
-    next_run_ = chosen->run_;
     owner_.views_.begin_attempt(attempt_->target_);
     guard_link& link = *attempt_->link_;
     link.start(describe(*chosen), *this);
@@ -347,9 +333,7 @@
 }
 
 void call::push_body() {
-    const bool has_body =
-        context_.request_.chunked_ || context_.request_.body_length_.value_or(0) > 0;
-    if (attempt_ == nullptr || !attempt_->written_ || !has_body) {
+    if (attempt_ == nullptr || !attempt_->written_ || !has_body()) {
         return;
     }
     while (attempt_->credit_ > 0 && !attempt_->body_ended_ && (unsent_body() > 0 || body_ended_)) {
@@ -381,124 +365,9 @@
     push_body();
 }
 
-void call::note_report(const wire::target_report& report) {
-    owner_.note_report(report);
-}
-
-void call::on_answer_head(const wire::answer_head& head) {
-    if (head.__isset.report) {
-        note_report(head.report);
-    }
-    if (head_sent_ && resuming_) {
-        if (!continues_answer(head)) {
-            give_up_target();
-            break_answer();
-        }
-        return;
-    }
-    if (head_sent_) {
-        // The answer is sent once more after a lost link: what the caller has is passed over.
-        skip_ = forwarded_;
-        return;
-    }
-    if (head.status >= first_server_error && context_.idempotent_) {
-        holding_ = true;
-        failure_ = held_failure{head, {}};
-        return;
-    }
-    forward_head(head);
-}
-
-void call::forward_head(const wire::answer_head& head) {
-    // A body may take its time as long as it moves; the deadline is for its beginning.
-    deadline_timer_.cancel();
-    note_resumable(head);
-    if (nested_ && head.status >= first_error) {
-        owner_.parts_.on_failed_call_();
-    }
-    const config::header_policy& headers = owner_.parts_.headers_;
-    const std::vector<std::string> listed = headers.pass_all_
-                                                ? std::vector<std::string>{}
-                                                : filter::answer_headers_of(*context_.service_);
-    net::http_answer answer;
-    answer.status_ = head.status;
-    for (const wire::header_field& field : head.headers) {
-        const bool passes =
-            headers.pass_all_ ? field.name != request_id_header
-                              : std::find(listed.begin(), listed.end(), field.name) != listed.end();
-        if (passes) {
-            answer.headers_.push_back({field.name, field.value});
-        }
-    }
-    answer.headers_.push_back({std::string(request_id_header), request_id_});
-    if (head.__isset.length) {
-        answer.length_ = static_cast<std::uint64_t>(head.length);
-    }
-    head_sent_ = true;
-    exchange_.send_head(answer);
-}
-
-void call::on_answer_body(const wire::body_part& part) {
-    if (holding_) {
-        failure_->body_ += part.bytes;
-        if (part.last) {
-            holding_ = false;
-            attempt_ended(policy::attempt_outcome::failed, filter::reason::target_failed);
-        }
-        return;
-    }
-    std::string_view bytes = part.bytes;
-    const std::uint64_t skipped = std::min<std::uint64_t>(skip_, bytes.size());
-    skip_ -= skipped;
-    bytes.remove_prefix(skipped);
-    forwarded_ += bytes.size();
-    uncredited_ += bytes.size();
-    exchange_.send_body(bytes);
-    if (!part.last) {
-        return;
-    }
-    if (!part.whole) {
-        give_up_target();
-        resume_or_break();
-        return;
-    }
-    leave_attempt();
-    finish_answer();
-}
-
-void call::finish_answer() {
-    over_ = true;
-    owner_.parts_.metrics_.count_answer(owner_.parts_.loop_.clock().now() - began_);
-    exchange_.finish();
-}
-
-// No attempt did better than the target's own failure.
-void call::pass_failure_on() {
-    const held_failure failure = std::move(*failure_);
-    failure_.reset();
-    record("failure_passed_on", context_.service_->name_, time_left());
-    forward_head(failure.head_);
-    exchange_.send_body(failure.body_);
-    finish_answer();
-}
-
-void call::on_sent(std::size_t bytes) {
-    if (attempt_ == nullptr || !attempt_->written_) {
-        return;
-    }
-    // What has left the buffer may be replaced; framing of chunks is not counted.
-    const std::uint64_t free = std::min<std::uint64_t>(uncredited_, bytes);
-    credit_due_ += free;
-    uncredited_ -= free;
-    if (credit_due_ >= credit_step) {
-        attempt_->link_->send_credit(attempt_->id_, static_cast<std::int32_t>(credit_due_));
-        credit_due_ = 0;
-    }
-}
-
 void call::on_refused(const wire::attempt_refused& refusal) {
     if (refusal.__isset.report) {
-        note_report(refusal.report);
+        owner_.note_report(refusal.report);
     }
     if (refusal.reason == wire::refusal_reason::draining) {
         owner_.set_draining(attempt_->link_->peer(), true);
@@ -540,7 +409,7 @@
 
 void call::on_failed(const wire::attempt_failed& failure) {
     if (failure.__isset.report) {
-        note_report(failure.report);
+        owner_.note_report(failure.report);
     }
     const bool lost = failure.reason == wire::failure_reason::answer_lost;
     attempt_ended(policy::attempt_outcome::unknown,
@@ -650,120 +519,4 @@
     }
 }
 
-void call::refuse_not_run(filter::reason why) {
-    const int status =
-        why == filter::reason::key_invalid ? status_unauthorized : status_unavailable;
-    const base::duration wait =
-        shortest_wait_ == base::duration::max() ? short_retry : shortest_wait_;
-    refuse({status, filter::outcome::not_run, why,
-            policy::come_back_after(wait, time_left(), owner_.random_)});
-}
-
-void call::refuse_unknown(filter::reason why) {
-    refuse({status_gateway_timeout, filter::outcome::unknown, why, {}});
-}
-
-void call::refuse(const filter::refusal& refusal) {
-    over_ = true;
-    deadline_timer_.cancel();
-    if (nested_) {
-        owner_.parts_.on_failed_call_();
-    }
-    owner_.parts_.metrics_.count_refusal(std::string(filter::to_text(refusal.outcome_)),
-                                         std::string(filter::to_text(refusal.reason_)));
-    record("refused",
-           std::to_string(refusal.status_) + " " + std::string(filter::to_text(refusal.reason_)),
-           refusal.retry_after_);
-    net::http_answer answer;
-    answer.status_ = refusal.status_;
-    answer.headers_ = {
-        {"content-type", "application/json"},
-        {"x-dandelionridge-outcome", std::string(filter::to_text(refusal.outcome_))},
-        {"x-dandelionridge-reason", std::string(filter::to_text(refusal.reason_))},
-        {std::string(request_id_header), request_id_},
-    };
-    if (refusal.retry_after_ > base::duration::zero()) {
-        const auto whole_seconds = (base::whole_ms(refusal.retry_after_) + 999) / 1000;
-        const bool fractions = owner_.parts_.headers_.fractional_retry_after_;
-        answer.headers_.push_back({"retry-after", fractions ? seconds_text(refusal.retry_after_)
-                                                            : std::to_string(whole_seconds)});
-    }
-    const nlohmann::json body = {
-        {"outcome", filter::to_text(refusal.outcome_)},
-        {"reason", filter::to_text(refusal.reason_)},
-        {"remedy", filter::remedy_of(refusal.reason_)},
-        {"request_id", request_id_},
-    };
-    net::send_answer(exchange_, std::move(answer), body.dump() + "\n");
-}
-
-// One line a decision on this request.
-void call::record(const char* kind, const std::string& detail, base::duration number) const {
-    const base::duration age = owner_.parts_.loop_.clock().now() - began_;
-    owner_.parts_.events_.record(
-        owner_.parts_.loop_.clock().wall_ms(), kind,
-        {{"request", request_id_},
-         {"route", context_.route_ == nullptr ? "" : context_.route_->name_},
-         {"organisation", context_.organisation_},
-         {"detail", detail},
-         {"ms", std::to_string(base::whole_ms(number))},
-         {"age_ms", std::to_string(base::whole_ms(age))},
-         {"attempts", std::to_string(attempts_)},
-         {"refusals", std::to_string(refusals_)},
-         {"rules", std::to_string(context_.rules_->version_)}});
-}
-
-// Remembers whether another target can continue the answer if this one breaks off.
-void call::note_resumable(const wire::answer_head& head) {
-    constexpr int status_ok = 200;
-    const bool ranged = net::find_header(context_.request_.headers_, "range") != nullptr;
-    if (context_.request_.method_ != "GET" || !context_.idempotent_ || ranged ||
-        head.status != status_ok || !head.__isset.length) {
-        return;
-    }
-    for (const wire::header_field& field : head.headers) {
-        // A weak one begins with W/.
-        if (field.name == "etag" && field.value.starts_with('"')) {
-            resumable_etag_ = field.value;
-            answer_length_ = static_cast<std::uint64_t>(head.length);
-        }
-    }
-}
-
-// True if the head belongs to the rest of the very answer that broke off.
-bool call::continues_answer(const wire::answer_head& head) const {
-    constexpr int status_partial = 206;
-    const std::string expected = "bytes " + std::to_string(forwarded_) + "-" +
-                                 std::to_string(answer_length_ - 1) + "/" +
-                                 std::to_string(answer_length_);
-    bool same_etag = false;
-    bool same_range = false;
-    for (const wire::header_field& field : head.headers) {
-        same_etag = same_etag || (field.name == "etag" && field.value == resumable_etag_);
-        same_range = same_range || (field.name == "content-range" && field.value == expected);
-    }
-    return head.status == status_partial && same_etag && same_range;
-}
-
-// Fetches the rest from another target if it surely is the same, or breaks the answer off.
-void call::resume_or_break() {
-    const bool possible = !resumable_etag_.empty() && attempts_ < context_.route_->attempts_ &&
-                          forwarded_ < answer_length_ && choose().has_value();
-    if (!possible) {
-        break_answer();
-        return;
-    }
-    resuming_ = true;
-    deadline_ = owner_.parts_.loop_.clock().now() + context_.service_->timeout_;
-    owner_.parts_.metrics_.count_retry();
-    start_attempt();
-}
-
-// The caller has part of an answer that will never be whole: the break must be seen.
-void call::break_answer() {
-    over_ = true;
-    owner_.parts_.metrics_.count_broken_answer();
-    exchange_.abort();
-}
-
 }  // namespace dandelionridge::node
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -19,6 +19,11 @@
 
 namespace dandelionridge::node {
 
+inline constexpr std::string_view request_id_header = "x-request-id";
+
+// When a refused caller may come back, where nobody knows better.
+inline constexpr base::duration short_retry = base::milliseconds(300);
+
 class call final : public net::http_handler, public attempt_events, public control::quota_listener {
 public:
     call(entry& owner, net::http_exchange& exchange, net::http_request request);
@@ -53,7 +58,6 @@
         std::string target_;
         policy::attempt_id id_;
         bool written_ = false;
-        bool may_wait_ = false;
         bool body_ended_ = false;
         std::size_t body_sent_ = 0;
         std::int64_t credit_ = 0;
@@ -67,6 +71,7 @@
 
     void begin();
     void admit();
+    bool has_body() const;
     bool body_at_hand() const;
     void start_attempt();
     std::optional<chosen_target> choose();
@@ -74,7 +79,6 @@
     void add_headers(wire::attempt_begin& begin) const;
     void leave_attempt();
     void give_up_target();
-    void note_report(const wire::target_report& report);
     void move_on(const wire::attempt_refused& refusal);
     void attempt_ended(policy::attempt_outcome outcome, filter::reason why, bool free = false);
     void give_up(policy::retry_decision decision, filter::reason why);
@@ -119,7 +123,6 @@
     bool maybe_ran_ = false;
     // Time after which a slot may be free, by the guards that refused.
     base::duration shortest_wait_ = base::duration::max();
-    base::duration next_run_{};
 
     // Body of the request from `body_offset_` on.
     std::string body_;
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -109,6 +109,10 @@
     views_.note(report, parts_.loop_.clock().now());
 }
 
+void entry::forget_old_targets() {
+    views_.forget_old(parts_.loop_.clock().now());
+}
+
 // The budget is the fleet's: each entry uses the part of the slack that falls to it.
 policy::retry_limits entry::retry_limits() const {
     const config::settings& settings = parts_.settings_;
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -73,6 +73,9 @@
 
     void note_report(const wire::target_report& report);
 
+    // Drops what is known of targets that told nothing for long.
+    void forget_old_targets();
+
     // The process ends so soon that requests that come now could not be served to their end. Calls
     // of requests that run here are short, and are taken a little longer.
     void refuse_new(bool calls_too);
--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -27,14 +27,6 @@
     return wire::attempt_state::unknown;
 }
 
-wire::frame failure_frame(const policy::ledger_key& key, wire::failure_reason reason) {
-    wire::frame frame;
-    frame.__isset.failed_ = true;
-    frame.failed_.attempt = to_wire(key.attempt_);
-    frame.failed_.reason = reason;
-    return frame;
-}
-
 }  // namespace
 
 guard::guard(net::event_loop& loop, const config::settings& settings,
@@ -119,12 +111,14 @@
     } else if (frame.__isset.ping_) {
         on_ping(link, frame.ping_);
     } else {
-        net::frame_socket* back = link.socket_.get();
-        listener_.on_control_frame(link.host_, std::move(frame),
-                                   [back](const wire::frame& answer) { back->send(answer); });
+        listener_.on_control_frame(link.host_, std::move(frame), reply_on(link));
     }
 }
 
+control::peer_reply guard::reply_on(const connection& link) {
+    return [back = link.socket_.get()](const wire::frame& answer) { back->send(answer); };
+}
+
 void guard::on_hello(connection& link, const wire::hello& hello) {
     const bool fresh = !link.welcomed_ && policy::accept_link(ledger_, hello.boot, hello.link);
     link.host_ = hello.host;
@@ -148,9 +142,7 @@
     }
     links_[{hello.boot, hello.link}] = link.socket_.get();
     gone_since_.erase(hello.boot);
-    net::frame_socket* back = link.socket_.get();
-    listener_.on_peer_versions(link.host_, hello.versions,
-                               [back](const wire::frame& answer) { back->send(answer); });
+    listener_.on_peer_versions(link.host_, hello.versions, reply_on(link));
 }
 
 void guard::on_closed(net::frame_socket& socket) {
@@ -201,9 +193,7 @@
         frame.pong_.__set_report(report(targets_.begin()->second));
     }
     link.socket_->send(frame);
-    net::frame_socket* back = link.socket_.get();
-    listener_.on_peer_versions(link.host_, ping.versions,
-                               [back](const wire::frame& answer) { back->send(answer); });
+    listener_.on_peer_versions(link.host_, ping.versions, reply_on(link));
 }
 
 guard_attempt* guard::find(const connection& link, const wire::attempt_ref& ref) {
@@ -302,9 +292,10 @@
 void guard::follow(const policy::ledger_key& key, const link_key& by) {
     const auto running = attempts_.find(key);
     if (running != attempts_.end()) {
+        // Its answer comes when it ends, unless part of it was passed on already.
         if (running->second->kept().overflown_) {
-            send_to_entry(*running->second, failure_frame(key, wire::failure_reason::answer_lost));
-            return;
+            send_to_entry(*running->second,
+                          make_failure(key.attempt_, wire::failure_reason::answer_lost));
         }
         return;
     }
@@ -313,7 +304,7 @@
         return;
     }
     if (connection* link = link_for(by)) {
-        link->socket_->send(failure_frame(key, wire::failure_reason::answer_lost));
+        link->socket_->send(make_failure(key.attempt_, wire::failure_reason::answer_lost));
     }
 }
 
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -120,6 +120,7 @@
           const control::configuration& configuration, observe::event_log& events,
           link_listener& listener);
 
+    static control::peer_reply reply_on(const connection& link);
     void on_hello(connection& link, const wire::hello& hello);
     void on_begin(connection& link, wire::attempt_begin&& begin);
     void on_cancel(connection& link, const wire::attempt_cancel& cancel);
--- a/src/node/guard_attempt.cpp
+++ b/src/node/guard_attempt.cpp
@@ -44,16 +44,6 @@
     return begin_.chunked_body || (begin_.__isset.body_length && begin_.body_length > 0);
 }
 
-policy::run_kind guard_attempt::kind() const {
-    if (begin_.nested) {
-        return policy::run_kind::nested;
-    }
-    if (begin_.download) {
-        return policy::run_kind::download;
-    }
-    return begin_.idempotent ? policy::run_kind::idempotent : policy::run_kind::non_idempotent;
-}
-
 void guard_attempt::expire_after(base::duration bound) {
     deadline_timer_.start(bound, [this] {
         if (!running()) {
--- a/src/node/guard_attempt.h
+++ b/src/node/guard_attempt.h
@@ -13,7 +13,6 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "policy/guard_ledger.h"
-#include "policy/run_estimate.h"
 #include "wire/gen/fleet_types.h"
 
 namespace dandelionridge::node {
@@ -106,7 +105,6 @@
     const policy::ledger_key& key() const { return key_; }
     const wire::attempt_begin& begin() const { return begin_; }
     const kept_answer& kept() const { return kept_; }
-    policy::run_kind kind() const;
     bool running() const { return request_ != nullptr; }
     bool expired() const;
     base::instant deadline() const { return deadline_; }
--- a/src/node/guard_link.cpp
+++ b/src/node/guard_link.cpp
@@ -275,7 +275,7 @@
     listener_.on_peer_versions(peer_, welcome.versions, reply());
 }
 
-frame_reply guard_link::reply() {
+control::peer_reply guard_link::reply() {
     return [this](const wire::frame& answer) { send(answer); };
 }
 
--- a/src/node/guard_link.h
+++ b/src/node/guard_link.h
@@ -12,6 +12,7 @@
 
 #include "base/address.h"
 #include "base/clock.h"
+#include "control/peer_sender.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
 #include "observe/event.h"
@@ -55,18 +56,15 @@
     std::function<base::duration()> freshness_age_;
 };
 
-using frame_reply = std::function<void(const wire::frame&)>;
-
 // Frames that concern no attempt, and news of the peer.
 class link_listener {
 public:
     virtual ~link_listener() = default;
 
-    // `reply` sends a frame back on the same link; it is valid during the call only.
     virtual void on_peer_versions(const std::string& peer, const wire::config_versions& seen,
-                                  const frame_reply& reply) = 0;
+                                  const control::peer_reply& reply) = 0;
     virtual void on_control_frame(const std::string& peer, wire::frame&& frame,
-                                  const frame_reply& reply) = 0;
+                                  const control::peer_reply& reply) = 0;
     virtual void on_peer_draining(const std::string& peer, bool draining) = 0;
     virtual void on_target_report(const wire::target_report& report) = 0;
 };
@@ -140,7 +138,7 @@
     attempt_events* find(const wire::attempt_ref& ref);
     attempt_events* settle(const wire::attempt_ref& ref);
     void send(const wire::frame& frame);
-    frame_reply reply();
+    control::peer_reply reply();
 
     net::event_loop& loop_;
     const link_identity& identity_;
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -21,14 +21,6 @@
 constexpr base::duration ask_interval = base::milliseconds(400);
 constexpr std::size_t asked_entries = 10;
 
-wire::frame failure_frame(const guard_attempt& attempt, wire::failure_reason reason) {
-    wire::frame frame;
-    frame.__isset.failed_ = true;
-    frame.failed_.attempt = to_wire(attempt.key().attempt_);
-    frame.failed_.reason = reason;
-    return frame;
-}
-
 }  // namespace
 
 // Why an attempt cannot even wait, whatever its target's load, if so.
@@ -141,14 +133,7 @@
     const auto service = configuration_.rules()->services_.find(begin.service_name);
     waiting.background_ = service != configuration_.rules()->services_.end() &&
                           service->second.class_ == config::request_class::background;
-    policy::run_kind kind =
-        begin.idempotent ? policy::run_kind::idempotent : policy::run_kind::non_idempotent;
-    if (begin.nested) {
-        kind = policy::run_kind::nested;
-    } else if (begin.download) {
-        kind = policy::run_kind::download;
-    }
-    waiting.run_ = policy::expected_run(target.runs_, kind, base::duration::zero());
+    waiting.run_ = policy::expected_run(target.runs_, kind_of(begin), base::duration::zero());
     return waiting;
 }
 
@@ -257,7 +242,7 @@
 void guard::fail(guard_attempt& attempt, wire::failure_reason reason) {
     ++counters_.failed_;
     policy::end_attempt(ledger_, attempt.key());
-    wire::frame frame = failure_frame(attempt, reason);
+    wire::frame frame = make_failure(attempt.key().attempt_, reason);
     frame.failed_.__set_report(report_of(attempt));
     send_to_entry(attempt, frame);
 }
@@ -284,7 +269,7 @@
         case attempt_end::cancelled: {
             const auto target = targets_.find(attempt.target_key());
             const base::duration usual =
-                policy::expected_run(target->second.runs_, attempt.kind(), unknown_run);
+                policy::expected_run(target->second.runs_, kind_of(attempt.begin()), unknown_run);
             return took > hung_runs * usual && last_failed_call_ < attempt.began_run_at();
         }
         case attempt_end::not_run:
@@ -300,7 +285,7 @@
     const bool succeeded =
         end == attempt_end::answered && attempt.kept().head_.status < first_server_error;
     if (succeeded) {
-        policy::note_run(target.runs_, attempt.kind(), now - attempt.began_run_at());
+        policy::note_run(target.runs_, kind_of(attempt.begin()), now - attempt.began_run_at());
     }
     if (!failed && !succeeded) {
         policy::end_trial(target.health_);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -187,6 +187,7 @@
         gossip_.on_hosts_changed();
         links_->follow(*configuration_.hosts());
         quota_.on_hosts_changed();
+        entry_->forget_old_targets();
     }
     guard_->on_configuration_changed();
 }
@@ -273,16 +274,16 @@
 }
 
 void node::on_peer_versions(const std::string& peer, const wire::config_versions& seen,
-                            const frame_reply& reply) {
+                            const control::peer_reply& reply) {
     links_->on_heard(peer);
     gossip_.on_versions(seen, reply);
 }
 
 void node::on_control_frame(const std::string& peer, wire::frame&& frame,
-                            const frame_reply& reply) {
+                            const control::peer_reply& reply) {
     wire::frame answer;
     if (frame.__isset.view_question_) {
-        answer.__set_view_answer_(gossip_.on_question(peer, frame.view_question_, reply));
+        answer.__set_view_answer_(gossip_.on_question(frame.view_question_, reply));
         reply(answer);
     } else if (frame.__isset.view_answer_) {
         gossip_.on_answer(peer, frame.view_answer_, reply);
@@ -299,7 +300,7 @@
 }
 
 void node::on_update(const std::string& peer, const wire::config_update& update,
-                     const frame_reply& reply) {
+                     const control::peer_reply& reply) {
     const control::offer_outcome outcome = gossip_.on_update(update, reply);
     if (outcome != control::offer_outcome::old) {
         record("configuration_from_peer",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -42,9 +42,9 @@
     void reload(config::settings settings);
 
     void on_peer_versions(const std::string& peer, const wire::config_versions& seen,
-                          const frame_reply& reply) override;
+                          const control::peer_reply& reply) override;
     void on_control_frame(const std::string& peer, wire::frame&& frame,
-                          const frame_reply& reply) override;
+                          const control::peer_reply& reply) override;
     void on_peer_draining(const std::string& peer, bool draining) override;
     void on_target_report(const wire::target_report& report) override;
 
@@ -59,7 +59,7 @@
     void tick();
     void on_accepted(control::value_kind kind);
     void on_update(const std::string& peer, const wire::config_update& update,
-                   const frame_reply& reply);
+                   const control::peer_reply& reply);
     void on_published(control::value_kind kind, std::int64_t version,
                       const std::vector<std::string>& lines);
     bool serving() const { return identity_.settled_() && !draining_; }
--- a/src/node/wire_attempt.cpp
+++ b/src/node/wire_attempt.cpp
@@ -13,4 +13,22 @@
     return {ref.link, ref.sequence};
 }
 
+policy::run_kind kind_of(const wire::attempt_begin& begin) {
+    if (begin.nested) {
+        return policy::run_kind::nested;
+    }
+    if (begin.download) {
+        return policy::run_kind::download;
+    }
+    return begin.idempotent ? policy::run_kind::idempotent : policy::run_kind::non_idempotent;
+}
+
+wire::frame make_failure(policy::attempt_id attempt, wire::failure_reason reason) {
+    wire::frame frame;
+    frame.__isset.failed_ = true;
+    frame.failed_.attempt = to_wire(attempt);
+    frame.failed_.reason = reason;
+    return frame;
+}
+
 }  // namespace dandelionridge::node
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -115,8 +115,6 @@
     2: i32 status
     3: list<header_field> headers
     4: optional i64 length
-    // Attempts that the guard has running on this target.
-    5: i32 in_flight
     6: optional target_report report
 }
 
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -2247,10 +2247,6 @@
 __isset.length = true;
 }
 
-void answer_head::__set_in_flight(const int32_t val) {
-  this->in_flight = val;
-}
-
 void answer_head::__set_report(const target_report& val) {
   this->report = val;
 __isset.report = true;
@@ -2327,14 +2323,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->in_flight);
-          this->__isset.in_flight = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->report.read(iprot);
@@ -2385,10 +2373,6 @@
     xfer += oprot->writeI64(this->length);
     xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 5);
-  xfer += oprot->writeI32(this->in_flight);
-  xfer += oprot->writeFieldEnd();
-
   if (this->__isset.report) {
     xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 6);
     xfer += this->report.write(oprot);
@@ -2405,7 +2389,6 @@
   swap(a.status, b.status);
   swap(a.headers, b.headers);
   swap(a.length, b.length);
-  swap(a.in_flight, b.in_flight);
   swap(a.report, b.report);
   swap(a.__isset, b.__isset);
 }
@@ -2415,7 +2398,6 @@
   status = other52.status;
   headers = other52.headers;
   length = other52.length;
-  in_flight = other52.in_flight;
   report = other52.report;
   __isset = other52.__isset;
 }
@@ -2424,7 +2406,6 @@
   status = other53.status;
   headers = std::move(other53.headers);
   length = other53.length;
-  in_flight = other53.in_flight;
   report = std::move(other53.report);
   __isset = other53.__isset;
 }
@@ -2433,7 +2414,6 @@
   status = other54.status;
   headers = other54.headers;
   length = other54.length;
-  in_flight = other54.in_flight;
   report = other54.report;
   __isset = other54.__isset;
   return *this;
@@ -2443,7 +2423,6 @@
   status = other55.status;
   headers = std::move(other55.headers);
   length = other55.length;
-  in_flight = other55.in_flight;
   report = std::move(other55.report);
   __isset = other55.__isset;
   return *this;
@@ -2455,7 +2434,6 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "length="; (__isset.length ? (out << to_string(length)) : (out << "<null>"));
-  out << ", " << "in_flight=" << to_string(in_flight);
   out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ")";
 }
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -907,12 +907,11 @@
 std::ostream& operator<<(std::ostream& out, const attempt_cancel& obj);
 
 typedef struct _answer_head__isset {
-  _answer_head__isset() : attempt(false), status(false), headers(false), length(false), in_flight(false), report(false) {}
+  _answer_head__isset() : attempt(false), status(false), headers(false), length(false), report(false) {}
   bool attempt :1;
   bool status :1;
   bool headers :1;
   bool length :1;
-  bool in_flight :1;
   bool report :1;
 } _answer_head__isset;
 
@@ -925,8 +924,7 @@
   answer_head& operator=(answer_head&&) noexcept;
   answer_head() noexcept
               : status(0),
-                length(0),
-                in_flight(0) {
+                length(0) {
   }
 
   virtual ~answer_head() noexcept;
@@ -934,7 +932,6 @@
   int32_t status;
   std::vector<header_field>  headers;
   int64_t length;
-  int32_t in_flight;
   target_report report;
 
   _answer_head__isset __isset;
@@ -947,8 +944,6 @@
 
   void __set_length(const int64_t val);
 
-  void __set_in_flight(const int32_t val);
-
   void __set_report(const target_report& val);
 
   bool operator == (const answer_head & rhs) const
@@ -963,8 +958,6 @@
       return false;
     else if (__isset.length && !(length == rhs.length))
       return false;
-    if (!(in_flight == rhs.in_flight))
-      return false;
     if (__isset.report != rhs.__isset.report)
       return false;
     else if (__isset.report && !(report == rhs.report))
