End an attempt's timers when its guard has done with it

Cause of the rare "free(): invalid pointer": after a freeze many timers are due in one batch. A run times out, its end refuses what waits without hope, and each refused attempt is destroyed only after the batch, with its deadline timer still armed. That timer fired, the guard refused the attempt a second time, did not find it, and erased the end of its map.

Ruled out: the first guess, what a process takes from a peer at its start (the processes in the logs were all just thawed).

Test: "guard frozen past the deadlines of what runs and of what waits" ended the process 3 of 3 times before, passes now. An attempt that the guard does not know is now an assertion.

The test "an order's answer whose guard is lost midway" failed in 5 of 12 runs, before and after this change: it froze the guard when the run had begun, not when its answer had. Before the answer began a 504 is the right outcome. It now waits for the answer's first bytes; its checks stay.

--- a/src/node/guard.cpp
+++ b/src/node/guard.cpp
@@ -1,6 +1,7 @@
 #include "node/guard.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "node/wire_attempt.h"
@@ -229,7 +230,9 @@
 // Takes an attempt out of the open ones. Its answer is kept if an entry may still ask for it.
 void guard::finish(guard_attempt& attempt) {
     const auto found = attempts_.find(attempt.key());
+    assert(found != attempts_.end());
     std::unique_ptr<guard_attempt> ended = std::move(found->second);
+    ended->retire();
     attempts_.erase(found);
     retire(std::move(ended));
 }
--- a/src/node/guard_attempt.cpp
+++ b/src/node/guard_attempt.cpp
@@ -119,6 +119,11 @@
     end(attempt_end::cancelled);
 }
 
+void guard_attempt::retire() {
+    over_ = true;
+    deadline_timer_.cancel();
+}
+
 void guard_attempt::on_request_body(const wire::body_part& part) {
     body_ended_ = body_ended_ || part.last;
     if (running()) {
--- a/src/node/guard_attempt.h
+++ b/src/node/guard_attempt.h
@@ -89,6 +89,9 @@
     // Ends a run; the target sees its connection close.
     void cancel();
 
+    // The guard has done with it: no timer of it calls the owner any more.
+    void retire();
+
     void on_request_body(const wire::body_part& part);
     void on_credit(std::int32_t bytes);
 
--- a/tests/process_run_test.cpp
+++ b/tests/process_run_test.cpp
@@ -1,6 +1,8 @@
 // At most once, and a true "not run", through real processes under kills, freezes and cuts.
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <csignal>
+#include <thread>
 
 #include "support/plans.h"
 
@@ -83,6 +85,39 @@
     CHECK(fleet.runs_of("late") == 0);
 }
 
+TEST_CASE("guard frozen past the deadlines of what runs and of what waits",
+          "[promise-at-most-once]") {
+    fleet fleet(orders_plan({"z1", "z2"}, {"h2"}, "slots=1 timeout=4s"));
+    constexpr auto deadline = std::chrono::seconds(4);
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::hang});
+    std::vector<std::future<caller_answer>> answers;
+    answers.push_back(send_in_background(order(fleet, "h1", "runs", "POST")));
+    REQUIRE(wait_for([&] { return ran(fleet, "runs"); }));
+    const std::vector<std::string> waiting = {"a", "b", "c"};
+    for (const std::string& id : waiting) {
+        answers.push_back(send_in_background(order(fleet, "h1", id, "POST")));
+    }
+    REQUIRE(wait_for([&] { return fleet.status_number("h2", "/guard/open") == 4; }));
+    fleet.host("h2").send_signal(SIGSTOP);
+    const auto passed = std::chrono::steady_clock::now() + deadline;
+    for (auto& answer : answers) {
+        CHECK(answer.get().outcome() == "unknown");
+    }
+    std::this_thread::sleep_until(passed);
+    fleet.host("h2").send_signal(SIGCONT);
+    fleet.target("t1").set({});
+    REQUIRE(wait_for([&] { return fleet.status_number("h2", "/pauses") >= 1; }));
+    CHECK_FALSE(fleet.host("h2").ended());
+    caller caller;
+    REQUIRE(
+        wait_for([&] { return caller.send(order(fleet, "h1", "after", "GET")).status_ == 200; }));
+    CHECK(fleet.status_number("h2", "/guard/open") == 0);
+    for (const std::string& id : waiting) {
+        CHECK(fleet.runs_of(id) == 0);
+    }
+}
+
 TEST_CASE("a link goes silent towards the guard while new ones work", "[promise-not-run]") {
     fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, patient);
     plan.relayed_ = {"h2"};
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -139,7 +139,7 @@
     request.url_ += "?bytes=2000000000";
     request.discard_body_ = true;
     auto answer = send_in_background(request);
-    REQUIRE(wait_for([&] { return fleet.runs_of("o") == 1; }));
+    REQUIRE(wait_for([&] { return request.answer_began_->load(); }));
     fleet.host("h2").send_signal(SIGSTOP);
     const auto got = answer.get();
     CHECK(got.status_ == 200);
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -18,6 +18,7 @@
     caller_answer* answer_ = nullptr;
     EVP_MD_CTX* digest_ = nullptr;
     bool discard_ = false;
+    std::atomic<bool>* began_ = nullptr;
 };
 
 std::size_t on_body(char* bytes, std::size_t size, std::size_t count, void* user) {
@@ -25,6 +26,7 @@
     const std::size_t total = size * count;
     EVP_DigestUpdate(to->digest_, bytes, total);
     to->answer_->body_bytes_ += total;
+    *to->began_ = true;
     if (!to->discard_) {
         to->answer_->body_.append(bytes, total);
     }
@@ -79,7 +81,7 @@
 
 caller_answer caller::send(const caller_request& request) {
     caller_answer answer;
-    receiver to{&answer, EVP_MD_CTX_new(), request.discard_body_};
+    receiver to{&answer, EVP_MD_CTX_new(), request.discard_body_, request.answer_began_.get()};
     EVP_DigestInit_ex(to.digest_, EVP_sha256(), nullptr);
     curl_easy_reset(handle_);
     curl_slist* headers = nullptr;
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -2,6 +2,7 @@
 // their own, since libcurl sends again by itself when a kept one turns out to be dead.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -20,6 +21,8 @@
     long timeout_ms_ = 30'000;
     // Keeps only the digest and size of the answer's body.
     bool discard_body_ = false;
+    // Set once the first byte of an answer's body is here, for tests that act in its middle.
+    std::shared_ptr<std::atomic<bool>> answer_began_ = std::make_shared<std::atomic<bool>>(false);
 };
 
 struct caller_answer {
