--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -178,7 +178,17 @@
 }
 
 policy::choice_wish call::wish() const {
-    return {context_.idempotent_, context_.route_->download_, owner_.parts_.settings_.least_share_};
+    return {context_.idempotent_, spare_attempt(), context_.route_->download_,
+            owner_.parts_.settings_.least_share_};
+}
+
+// True if the request may be sent once more if its next attempt fails. Where a route allows a
+// single attempt, its requests are as good as any to find out how a target is.
+bool call::spare_attempt() const {
+    if (!context_.idempotent_ || attempts_ > 0) {
+        return false;
+    }
+    return context_.route_->attempts_ == 1 || owner_.may_retry(context_.service_->name_, nested_);
 }
 
 std::optional<chosen_target> call::choose() {
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -87,6 +87,7 @@
     bool replayable() const;
     std::size_t unsent_body() const;
     policy::choice_wish wish() const;
+    bool spare_attempt() const;
     void forward_head(const wire::answer_head& head);
     void finish_answer();
     void pass_failure_on();
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -122,6 +122,11 @@
             settings.retry_window_};
 }
 
+bool entry::may_retry(const std::string& service, bool nested) {
+    return policy::has_room(retries_[service], retry_limits(), policy::usable_part(nested),
+                            parts_.loop_.clock().now());
+}
+
 policy::candidate entry::describe(const config::host_entry& host,
                                   const config::target_entry& target,
                                   const config::service_rule& service) const {
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -104,6 +104,9 @@
 
     policy::retry_limits retry_limits() const;
 
+    // True if the budget has room for a retry at a service.
+    bool may_retry(const std::string& service, bool nested);
+
     entry_parts parts_;
     base::random_engine random_;
     std::unique_ptr<net::http_server> server_;
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -25,6 +25,7 @@
 #include "node/guard_link.h"
 #include "observe/event.h"
 #include "policy/guard_ledger.h"
+#include "policy/idle_target.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
 #include "policy/target_health.h"
@@ -102,9 +103,7 @@
         policy::run_estimates runs_;
         int in_flight_ = 0;
         int slots_ = 1;
-        // When a run began last, and when entries were asked for one.
-        base::instant used_at_{};
-        base::instant asked_at_{};
+        policy::idle_target idle_;
     };
 
     // Names a link across all entries.
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -16,9 +16,6 @@
 constexpr int hung_runs = 3;
 constexpr int first_server_error = 500;
 constexpr double percent = 100;
-// A target without a run for this long is in want of one; entries are asked this often.
-constexpr base::duration idle_bound = base::milliseconds(800);
-constexpr base::duration ask_interval = base::milliseconds(400);
 constexpr std::size_t asked_entries = 10;
 
 }  // namespace
@@ -223,7 +220,7 @@
     ++counters_.started_;
     target_state& state = targets_[target];
     ++state.in_flight_;
-    state.used_at_ = loop_.clock().now();
+    state.idle_.used_at_ = loop_.clock().now();
     policy::begin_trial(state.health_);
     attempt.run(*state.pool_);
 }
@@ -374,13 +371,12 @@
 // asked for an idempotent request.
 void guard::ask_for_work(target_state& target) {
     const base::instant now = loop_.clock().now();
-    const bool due = target.in_flight_ == 0 && now - target.used_at_ > idle_bound &&
-                     now - target.asked_at_ > ask_interval;
+    const bool due = policy::wants_request(target.idle_, target.slots_ - target.in_flight_, now);
     if (!due || draining_ || target.health_.state_ == policy::health_state::ejected ||
         connections_.empty()) {
         return;
     }
-    target.asked_at_ = now;
+    target.idle_.asked_at_ = now;
     wire::frame frame;
     frame.__set_report_(report(target));
     frame.report_.idle = true;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -26,9 +26,11 @@
 constexpr double ejected_factor = 8.0;
 // A target whose path is not open is taken as if it were this much slower.
 constexpr double avoided_factor = 3.0;
-// A request that must not run twice goes where it most likely succeeds: a target that surely fails
-// is taken as if it were this much slower.
+// A request that gets no other attempt goes where it most likely succeeds: a target that surely
+// fails is taken as if it were this much slower.
 constexpr double suspected_factor = 5.0;
+// The same for a request that can be sent again.
+constexpr double suspected_factor_with_spare = 2.0;
 // A target whose slots are all but taken is this much slower than an idle one.
 constexpr double full_factor = 0.35;
 constexpr double hopeless_suspicion = 0.7;
@@ -52,8 +54,18 @@
     return !wish.idempotent_ && target.ejected_ && target.suspicion_ > hopeless_suspicion;
 }
 
+bool may_try_out(const choice_wish& wish) {
+    return wish.idempotent_ && wish.spare_attempt_;
+}
+
 bool out_of_use(const candidate& target, const choice_wish& wish) {
-    return target.ejected_ || (target.on_trial_ && !wish.idempotent_);
+    return target.ejected_ || (target.on_trial_ && !may_try_out(wish));
+}
+
+// How much a likely failure weighs, as a factor on the time of an answer.
+double suspicion_factor(const candidate& target, const choice_wish& wish) {
+    const double most = may_try_out(wish) ? suspected_factor_with_spare : suspected_factor;
+    return 1 + (most - 1) * target.suspicion_;
 }
 
 bool wants_trial(const candidate& target) {
@@ -126,17 +138,14 @@
             }
             const double draw = static_cast<double>(base::random_below(random, 1000)) / 1000;
             double factor = 1 + draw_width * draw;
+            const bool trial = !out && may_try_out(wish) && wants_trial(one);
+            factor *= trial ? trial_factor : suspicion_factor(one, wish);
             if (out) {
                 factor *= ejected_factor;
-            } else if (wish.idempotent_ && wants_trial(one)) {
-                factor *= trial_factor;
             }
             if (one.avoided_) {
                 factor *= avoided_factor;
             }
-            if (!wish.idempotent_) {
-                factor *= 1 + (suspected_factor - 1) * one.suspicion_;
-            }
             const base::duration finish = times(expected_finish(one, wish, usual), factor);
             if (!best || finish < best->finish_) {
                 best = scored{i, finish, out};
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -1,7 +1,8 @@
 // Which target gets a request.
 //
 // Pattern: least expected finish. Targets that fail are passed over, but never so many that less
-// than a set share of a service's targets is in use.
+// than a set share of a service's targets is in use. Whether a target has recovered is found out by
+// requests that lose nothing but time if it has not: idempotent ones with another attempt to spare.
 #pragma once
 
 #include <cstddef>
@@ -45,6 +46,8 @@
 
 struct choice_wish {
     bool idempotent_ = false;
+    // If the target fails the request, another one may still get it.
+    bool spare_attempt_ = true;
     // Large answers: near targets are worth more.
     bool download_ = false;
     // Share of the targets that is always in use.
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -6,6 +6,9 @@
 
 constexpr int intervals_a_window = 20;
 
+// Part of the budget that only nested requests may use.
+constexpr double nested_reserve = 0.3;
+
 bool may_run_again(const retry_question& question) {
     if (question.idempotent_) {
         return true;
@@ -42,6 +45,10 @@
     interval.retries_ += repeated;
 }
 
+double usable_part(bool nested) {
+    return nested ? 1 : 1 - nested_reserve;
+}
+
 bool has_room(const retry_budget& budget, const retry_limits& limits, double part,
               base::instant now) {
     double requests = 0;
@@ -58,7 +65,7 @@
 
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_question& question, base::instant now) {
-    const double part = question.nested_ ? 1 : 1 - nested_reserve;
+    const double part = usable_part(question.nested_);
     if (may_run_again(question) && can_run_again(question) &&
         (question.free_ || has_room(budget, limits, part, now))) {
         if (!question.free_) {
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -71,8 +71,8 @@
     base::duration run_{};
 };
 
-// Part of the budget that only nested requests may use.
-inline constexpr double nested_reserve = 0.3;
+// Part of the budget that a request may use: some of it is kept for nested ones.
+double usable_part(bool nested);
 
 // Counts a new request towards the budget. `repeated` is the probability that a repeated run made
 // it: it then counts as a retry.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "policy/balance.h"
+#include "policy/idle_target.h"
 #include "policy/retry.h"
 #include "policy/slot_queue.h"
 #include "policy/token_bucket.h"
@@ -314,6 +315,24 @@
     CHECK(choose_target(targets, wish, random)->index_ == 0U);
 }
 
+TEST_CASE("a target that nobody uses asks for a request, also while one hangs there", "[policy]") {
+    base::runtime_clock clock;
+    clock.pause();
+    idle_target target{clock.now(), {}};
+    constexpr int all_free = 7;
+    constexpr int one_hangs = 6;
+    CHECK_FALSE(wants_request(target, all_free, clock.now()));
+    clock.advance(base::seconds(1));
+    CHECK(wants_request(target, all_free, clock.now()));
+    CHECK(wants_request(target, one_hangs, clock.now()));
+    CHECK_FALSE(wants_request(target, 0, clock.now()));
+    // Those that were asked are given time.
+    target.asked_at_ = clock.now();
+    CHECK_FALSE(wants_request(target, all_free, clock.now()));
+    clock.advance(base::milliseconds(500));
+    CHECK(wants_request(target, all_free, clock.now()));
+}
+
 TEST_CASE("a target on trial gets idempotent requests only", "[policy]") {
     base::random_engine random(7);
     std::vector<candidate> targets(2);
@@ -325,6 +344,30 @@
     CHECK(choose_target(targets, wish, random)->index_ == 0U);
 }
 
+// Pattern: outlier ejection with trials. A retry that is spent on a trial fails its caller.
+TEST_CASE("a request without another attempt goes where it most likely succeeds", "[policy]") {
+    base::random_engine random(7);
+    std::vector<candidate> targets(3);
+    for (candidate& one : targets) {
+        one.run_ = base::milliseconds(500);
+        one.slots_ = 7;
+    }
+    targets[0].on_trial_ = true;
+    targets[0].suspicion_ = 0.9;
+    // Idle because it fails at once, and not ejected yet.
+    targets[1].suspicion_ = 0.45;
+    targets[2].suspicion_ = 0.01;
+    targets[2].load_ = 4;
+    choice_wish wish;
+    wish.idempotent_ = true;
+    CHECK(choose_target(targets, wish, random)->index_ == 0U);
+    wish.spare_attempt_ = false;
+    CHECK(choose_target(targets, wish, random)->index_ == 2U);
+    // If only a target on trial is left, it gets the request.
+    targets[1].excluded_ = targets[2].excluded_ = true;
+    CHECK(choose_target(targets, wish, random)->index_ == 0U);
+}
+
 TEST_CASE("a bucket admits its burst and then its rate", "[policy]") {
     base::runtime_clock clock;
     clock.pause();
