--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -14,6 +14,9 @@
 // What it is worth to keep a large answer within its zone.
 constexpr base::duration download_zone_cost = base::milliseconds(80);
 
+// A target counts as slow beyond this many times the usual.
+constexpr double tolerated_slowness = 1.5;
+
 // What was told of a target's runs fades with this time: it may have recovered.
 constexpr double run_memory_s = 3;
 
@@ -36,6 +39,9 @@
 constexpr double hopeless_suspicion = 0.7;
 // Width of the draw between targets that are about equal.
 constexpr double draw_width = 0.04;
+// Targets of a large service that one request compares. Entries know them from reports of different
+// ages: if each compared all, all would send to the few that were last heard to be idle.
+constexpr std::size_t most_compared = 6;
 
 base::duration times(base::duration value, double factor) {
     return std::chrono::duration_cast<base::duration>(value * factor);
@@ -72,16 +78,20 @@
     return target.on_trial_ || target.idle_ || target.run_ == base::duration::zero();
 }
 
+// The median: a few slow targets do not make slowness usual.
 base::duration usual_run(std::span<const candidate> candidates) {
-    base::duration sum{};
-    int known = 0;
+    std::vector<base::duration> known;
     for (const candidate& one : candidates) {
         if (one.run_ > base::duration::zero() && !one.ejected_) {
-            sum += one.run_;
-            ++known;
+            known.push_back(one.run_);
         }
     }
-    return known == 0 ? unknown_run : sum / known;
+    if (known.empty()) {
+        return unknown_run;
+    }
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+    std::nth_element(known.begin(), middle, known.end());
+    return *middle;
 }
 
 // True if ejections leave less in use than the floor. Targets that surely fail are no capacity that
@@ -97,12 +107,28 @@
     return static_cast<double>(in_use) < std::ceil(wish.least_share_ * static_cast<double>(there));
 }
 
+// Which targets are considered, one after the other until one is found.
+enum class effort {
+    // Some of those in use whose path is open.
+    part,
+    // All of those.
+    all,
+    // All that are not excluded.
+    pressed,
+};
+
 struct scored {
     std::size_t index_ = 0;
     base::duration finish_{};
     bool allow_ejected_ = false;
 };
 
+// The time that a run takes beyond the usual one. What the mix of a target's requests and chance
+// explain is no difference: without this bound all entries send to the few that look fastest.
+base::duration beyond_usual(base::duration run, base::duration usual) {
+    return run > times(usual, tolerated_slowness) ? run - usual : base::duration::zero();
+}
+
 }  // namespace
 
 base::duration expected_finish(const candidate& target, const choice_wish& wish,
@@ -110,7 +136,7 @@
     base::duration run = usual;
     if (target.run_ > base::duration::zero()) {
         const std::chrono::duration<double> age = target.run_age_;
-        run += times(target.run_ - usual, std::exp(-age.count() / run_memory_s));
+        run += times(beyond_usual(target.run_, usual), std::exp(-age.count() / run_memory_s));
     }
     if (target.warming_) {
         run = times(run, warming_factor);
@@ -121,19 +147,32 @@
     return times(run, 1 + full_factor * filled * filled + queued / slots) + path_cost(target, wish);
 }
 
+// Which targets a request compares: all of a small service, a random part of a large one, but
+// always those that want to be tried out.
+std::vector<bool> draw_compared(std::span<const candidate> candidates,
+                                base::random_engine& random) {
+    std::vector<bool> compared(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        compared[i] = candidates[i].on_trial_ || candidates[i].idle_ ||
+                      base::random_below(random, candidates.size()) < most_compared;
+    }
+    return compared;
+}
+
 std::optional<target_choice> choose_target(std::span<const candidate> candidates,
                                            const choice_wish& wish, base::random_engine& random) {
     const base::duration usual = usual_run(candidates);
     const bool needs_ejected = below_floor(candidates, wish);
+    const std::vector<bool> compared = draw_compared(candidates, random);
     std::optional<scored> best;
-    // First among targets in use whose path is open, then among all that are not excluded.
-    for (const bool pressed : {false, true}) {
+    for (const effort how : {effort::part, effort::all, effort::pressed}) {
+        const bool pressed = how == effort::pressed;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             const candidate& one = candidates[i];
             const bool out = out_of_use(one, wish);
             const bool needed = needs_ejected && one.suspicion_ <= hopeless_suspicion;
-            if (one.excluded_ || one.unreachable_ || hopeless(one, wish) ||
-                (!pressed && (one.avoided_ || (out && !needed)))) {
+            if ((how == effort::part && !compared[i]) || one.excluded_ || one.unreachable_ ||
+                hopeless(one, wish) || (!pressed && (one.avoided_ || (out && !needed)))) {
                 continue;
             }
             const double draw = static_cast<double>(base::random_below(random, 1000)) / 1000;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,4 +1,5 @@
 // Decisions on the paused clock, in tables: retries, queues, choice of targets, views.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -266,6 +267,36 @@
     CHECK_FALSE(choose_target(targets, order, random));
 }
 
+// Pattern: herding on stale reports. Many entries hold the same old view of a large service whose
+// targets differ by chance only.
+TEST_CASE("entries with the same old view spread their requests over a large service", "[policy]") {
+    constexpr std::size_t target_count = 41;
+    constexpr int requests = 400;
+    constexpr int fair_share = requests / static_cast<int>(target_count);
+    base::random_engine random(11);
+    std::vector<candidate> targets(target_count);
+    for (candidate& one : targets) {
+        one.run_ = base::milliseconds(700 + static_cast<int>(base::random_below(random, 600)));
+        one.slots_ = 13;
+        one.suspicion_ = 0.05;
+    }
+    const choice_wish order;
+    std::vector<int> chosen(target_count);
+    for (int i = 0; i < requests; ++i) {
+        ++chosen[choose_target(targets, order, random)->index_];
+    }
+    const auto [least, most] = std::minmax_element(chosen.begin(), chosen.end());
+    CHECK(*least > 0);
+    CHECK(*most <= 4 * fair_share);
+    // One that is slow beyond chance gets next to nothing.
+    targets[0].run_ = base::milliseconds(4000);
+    int slow = 0;
+    for (int i = 0; i < requests; ++i) {
+        slow += choose_target(targets, order, random)->index_ == 0U ? 1 : 0;
+    }
+    CHECK(slow <= 1);
+}
+
 TEST_CASE("outlier ejection stops at the floor", "[policy][promise-floor]") {
     base::random_engine random(7);
     choice_wish wish;
