--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -120,6 +120,8 @@
     }
     const config::header_policy& headers = owner_.parts_.headers_;
     nested_ = context_.route_->open_ && !headers.caller_service_.empty();
+    const double repeated = nested_ ? owner_.parts_.repeated_part_() : 0;
+    repeated_parent_ = draw(owner_.random_) < repeated;
     if (nested_ ? owner_.refuses_calls_ : owner_.refuses_new_) {
         refuse(
             {status_unavailable, filter::outcome::not_run, filter::reason::stopping, short_retry});
@@ -133,8 +135,8 @@
     }
     deadline_ = began_ + patience;
     deadline_timer_.start(patience, [this] { on_deadline(); });
-    policy::note_request(owner_.retries_[context_.service_->name_], owner_.retry_limits(),
-                         nested_ ? owner_.parts_.repeated_part_() : 0, began_);
+    policy::note_request(owner_.retries_[context_.service_->name_],
+                         owner_.retry_limits(context_.service_->name_), repeated, began_);
     body_ended_ = !has_body();
     if (body_at_hand()) {
         admit();
@@ -178,7 +180,9 @@
 }
 
 policy::choice_wish call::wish() const {
-    return {context_.idempotent_, spare_attempt(), context_.route_->download_,
+    const bool download = context_.route_->download_;
+    return {context_.idempotent_, spare_attempt(), download,
+            policy::run_kind_of(nested_, download, context_.idempotent_),
             owner_.parts_.settings_.least_share_};
 }
 
@@ -245,7 +249,7 @@
     begin.allow_ejected = chosen.allow_ejected_;
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
-    begin.repeat = attempts_ > 0;
+    begin.repeat = attempts_ > 0 || repeated_parent_;
     const base::duration objective = context_.route_->objective_;
     if (objective > base::duration::zero()) {
         const auto left = base::whole_ms(began_ + objective - owner_.parts_.loop_.clock().now());
@@ -377,7 +381,7 @@
 
 void call::on_refused(const wire::attempt_refused& refusal) {
     if (refusal.__isset.report) {
-        owner_.note_report(refusal.report);
+        owner_.note_report_of(context_.service_->name_, refusal.report);
     }
     if (refusal.reason == wire::refusal_reason::draining) {
         owner_.set_draining(attempt_->link_->peer(), true);
@@ -419,7 +423,7 @@
 
 void call::on_failed(const wire::attempt_failed& failure) {
     if (failure.__isset.report) {
-        owner_.note_report(failure.report);
+        owner_.note_report_of(context_.service_->name_, failure.report);
     }
     const bool lost = failure.reason == wire::failure_reason::answer_lost;
     attempt_ended(policy::attempt_outcome::unknown,
@@ -475,8 +479,9 @@
     question.other_target_ = other.has_value();
     question.run_ = other && !free ? other->run_ : base::duration::zero();
     const base::instant now = owner_.parts_.loop_.clock().now();
-    const policy::retry_decision decision = policy::decide_retry(
-        owner_.retries_[context_.service_->name_], owner_.retry_limits(), question, now);
+    const policy::retry_decision decision =
+        policy::decide_retry(owner_.retries_[context_.service_->name_],
+                             owner_.retry_limits(context_.service_->name_), question, now);
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_.erase(attempt_->target_);
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -20,6 +20,8 @@
 // Part of the fleet's retry budget that the entries use: each counts for itself, and the load is
 // not the same everywhere.
 constexpr double budget_part = 0.75;
+// Part of the budget's ratio that the fleet as a whole aims at: reports of it come late.
+constexpr double fleet_part = 0.9;
 
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
     for (const config::zone_rule& rule : rules.zones_) {
@@ -39,6 +41,13 @@
                                                           : policy::distance::other_region;
 }
 
+// Time of a run of that kind; zero if the guard does not know.
+base::duration run_of(const wire::target_report& report, policy::run_kind kind) {
+    const auto index = static_cast<std::size_t>(kind);
+    return index < report.run_ms_by_kind.size() ? base::milliseconds(report.run_ms_by_kind[index])
+                                                : base::duration::zero();
+}
+
 }  // namespace
 
 entry::entry(entry_parts parts) : parts_(std::move(parts)), random_(base::make_random_engine()) {}
@@ -109,32 +118,47 @@
     views_.note(report, parts_.loop_.clock().now());
 }
 
+void entry::note_report_of(const std::string& service, const wire::target_report& report) {
+    note_report(report);
+    policy::note_counts(repeats_[service], report.target,
+                        {report.recent_runs, report.recent_repeats, parts_.loop_.clock().now()});
+}
+
 void entry::forget_old_targets() {
     views_.forget_old(parts_.loop_.clock().now());
 }
 
 // The budget is the fleet's: each entry uses the part of the slack that falls to it.
-policy::retry_limits entry::retry_limits() const {
+policy::retry_limits entry::retry_limits(const std::string& service) const {
     const config::settings& settings = parts_.settings_;
     const double hosts =
         std::max<double>(1, static_cast<double>(parts_.configuration_.hosts()->hosts_.size()));
-    return {settings.retry_ratio_ * budget_part, settings.retry_slack_ * budget_part / hosts,
-            settings.retry_window_};
+    policy::retry_limits limits{settings.retry_ratio_ * budget_part,
+                                settings.retry_slack_ * budget_part / hosts,
+                                settings.retry_window_};
+    const auto reports = repeats_.find(service);
+    if (reports != repeats_.end()) {
+        limits.multiple_ = policy::budget_multiple(
+            reports->second, settings.retry_ratio_ * fleet_part, parts_.loop_.clock().now());
+    }
+    return limits;
 }
 
 bool entry::may_retry(const std::string& service, bool nested) {
-    return policy::has_room(retries_[service], retry_limits(), policy::usable_part(nested),
+    return policy::has_room(retries_[service], retry_limits(service), policy::usable_part(nested),
                             parts_.loop_.clock().now());
 }
 
 policy::candidate entry::describe(const config::host_entry& host,
                                   const config::target_entry& target,
-                                  const config::service_rule& service) const {
+                                  const config::service_rule& service,
+                                  policy::run_kind kind) const {
     const config::rule_set& rules = *parts_.configuration_.rules();
     const guard_link* link = parts_.links_.find(host);
     const target_view* view = views_.find(target.name_);
     policy::candidate candidate;
     candidate.suspicion_ = policy::usual_suspicion;
+    candidate.untried_ = view == nullptr;
     candidate.distance_ = distance_between(rules, parts_.settings_.zone_, host.zone_);
     candidate.load_ = views_.load_of(target.name_, parts_.loop_.clock().now());
     candidate.slots_ =
@@ -145,7 +169,8 @@
     candidate.excluded_ =
         host.leaving_ || is_draining(host.name_) || !config::target_in(rules, target.name_);
     if (view != nullptr) {
-        candidate.run_ = base::milliseconds(view->report_.run_ms);
+        candidate.run_ = run_of(view->report_, kind);
+        candidate.untried_ = view->report_.run_ms == 0;
         candidate.run_age_ = parts_.loop_.clock().now() - view->reported_at_;
         constexpr double percent = 100;
         candidate.suspicion_ =
@@ -172,7 +197,7 @@
     for (const config::target_place& place : places->second) {
         const config::host_entry& host = hosts.hosts_[place.host_];
         const config::target_entry& target = host.targets_[place.target_];
-        policy::candidate candidate = describe(host, target, rule->second);
+        policy::candidate candidate = describe(host, target, rule->second, wish.kind_);
         candidate.excluded_ = candidate.excluded_ || tried.contains(target.name_);
         candidates.push_back(candidate);
     }
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -221,6 +221,7 @@
     target_state& state = targets_[target];
     ++state.in_flight_;
     state.idle_.used_at_ = loop_.clock().now();
+    policy::note_run_began(state.counts_, attempt.begin().repeat, state.idle_.used_at_);
     policy::begin_trial(state.health_);
     attempt.run(*state.pool_);
 }
@@ -339,8 +340,14 @@
     report.running = target.in_flight_;
     report.waiting = static_cast<std::int32_t>(target.queue_.waiting_.size());
     report.slots = target.slots_;
-    report.run_ms =
-        static_cast<std::int32_t>(base::whole_ms(policy::present_run(target.runs_, ages)));
+    const base::duration present = policy::present_run(target.runs_, ages);
+    report.run_ms = static_cast<std::int32_t>(base::whole_ms(present));
+    for (const base::duration run : policy::present_runs(target.runs_, present)) {
+        report.run_ms_by_kind.push_back(static_cast<std::int32_t>(base::whole_ms(run)));
+    }
+    const policy::run_counts counts = policy::faded_counts(target.counts_, now);
+    report.recent_runs = counts.runs_;
+    report.recent_repeats = counts.repeats_;
     report.ejected = target.health_.state_ == policy::health_state::ejected;
     report.suspicion = static_cast<std::int32_t>(
         percent *
--- a/src/node/wire_attempt.cpp
+++ b/src/node/wire_attempt.cpp
@@ -14,13 +14,7 @@
 }
 
 policy::run_kind kind_of(const wire::attempt_begin& begin) {
-    if (begin.nested) {
-        return policy::run_kind::nested;
-    }
-    if (begin.download) {
-        return policy::run_kind::download;
-    }
-    return begin.idempotent ? policy::run_kind::idempotent : policy::run_kind::non_idempotent;
+    return policy::run_kind_of(begin.nested, begin.download, begin.idempotent);
 }
 
 wire::frame make_failure(policy::attempt_id attempt, wire::failure_reason reason) {
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -75,7 +75,7 @@
 }
 
 bool wants_trial(const candidate& target) {
-    return target.on_trial_ || target.idle_ || target.run_ == base::duration::zero();
+    return target.on_trial_ || target.idle_ || target.untried_;
 }
 
 // The median: a few slow targets do not make slowness usual.
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "policy/run_estimate.h"
 
 namespace dandelionridge::policy {
 
@@ -22,7 +23,7 @@
     // Requests that run or wait at it, as far as this entry can tell.
     double load_ = 0;
     int slots_ = 1;
-    // Time that a run takes there; zero if nobody has told.
+    // Time that a run of the request's kind takes there; zero if nobody has told.
     base::duration run_{};
     // Since that was told.
     base::duration run_age_{};
@@ -40,6 +41,8 @@
     double suspicion_ = 0;
     // It asks for a request that shows how it is.
     bool idle_ = false;
+    // Nobody has told of any run there.
+    bool untried_ = false;
     // It must not get the request: it leaves, or was tried.
     bool excluded_ = false;
 };
@@ -50,6 +53,7 @@
     bool spare_attempt_ = true;
     // Large answers: near targets are worth more.
     bool download_ = false;
+    run_kind kind_ = run_kind::non_idempotent;
     // Share of the targets that is always in use.
     double least_share_ = 0;
 };
--- a/src/policy/run_estimate.cpp
+++ b/src/policy/run_estimate.cpp
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+run_kind run_kind_of(bool nested, bool download, bool idempotent) {
+    if (nested) {
+        return run_kind::nested;
+    }
+    if (download) {
+        return run_kind::download;
+    }
+    return idempotent ? run_kind::idempotent : run_kind::non_idempotent;
+}
+
 void note_run(run_estimates& runs, run_kind kind, base::duration took) {
     average(runs.by_kind_[static_cast<std::size_t>(kind)], took);
     average(runs.all_, took);
@@ -40,4 +50,17 @@
     return sum / count;
 }
 
+std::array<base::duration, run_kinds> present_runs(const run_estimates& runs,
+                                                   base::duration present) {
+    std::array<base::duration, run_kinds> by_kind = runs.by_kind_;
+    if (runs.all_ == base::duration::zero()) {
+        return by_kind;
+    }
+    const double factor = std::chrono::duration<double>(present) / runs.all_;
+    for (base::duration& run : by_kind) {
+        run = std::chrono::duration_cast<base::duration>(run * factor);
+    }
+    return by_kind;
+}
+
 }  // namespace dandelionridge::policy
--- a/src/policy/run_estimate.h
+++ b/src/policy/run_estimate.h
@@ -13,6 +13,8 @@
 enum class run_kind { nested, idempotent, non_idempotent, download };
 inline constexpr std::size_t run_kinds = 4;
 
+run_kind run_kind_of(bool nested, bool download, bool idempotent);
+
 struct run_estimates {
     // By kind; zero while no run of that kind has ended.
     std::array<base::duration, run_kinds> by_kind_{};
@@ -29,4 +31,8 @@
 // ages. Zero while nothing is known.
 base::duration present_run(const run_estimates& runs, std::span<const base::duration> ages);
 
+// The present times of runs by kind, where a run of any kind takes `present` in the mean.
+std::array<base::duration, run_kinds> present_runs(const run_estimates& runs,
+                                                   base::duration present);
+
 }  // namespace dandelionridge::policy
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -36,6 +36,11 @@
     8: i32 suspicion
     // It has had nothing to do for a while: an idempotent request would show how it is.
     9: bool idle
+    // Time that a run takes, by kind in the order of policy::run_kind; zero where unknown.
+    10: list<i32> run_ms_by_kind
+    // Runs that began within the last seconds, and those of them that repeat an earlier one.
+    11: double recent_runs
+    12: double recent_repeats
 }
 
 // First frame on a link, from the side that opened it.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -588,6 +588,18 @@
 void target_report::__set_idle(const bool val) {
   this->idle = val;
 }
+
+void target_report::__set_run_ms_by_kind(const std::vector<int32_t> & val) {
+  this->run_ms_by_kind = val;
+}
+
+void target_report::__set_recent_runs(const double val) {
+  this->recent_runs = val;
+}
+
+void target_report::__set_recent_repeats(const double val) {
+  this->recent_repeats = val;
+}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -688,6 +700,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->run_ms_by_kind.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->run_ms_by_kind.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += iprot->readI32(this->run_ms_by_kind[_i16]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.run_ms_by_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->recent_runs);
+          this->__isset.recent_runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->recent_repeats);
+          this->__isset.recent_repeats = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -741,6 +789,26 @@
   xfer += oprot->writeBool(this->idle);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("run_ms_by_kind", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->run_ms_by_kind.size()));
+    std::vector<int32_t> ::const_iterator _iter17;
+    for (_iter17 = this->run_ms_by_kind.begin(); _iter17 != this->run_ms_by_kind.end(); ++_iter17)
+    {
+      xfer += oprot->writeI32((*_iter17));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recent_runs", ::apache::thrift::protocol::T_DOUBLE, 11);
+  xfer += oprot->writeDouble(this->recent_runs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recent_repeats", ::apache::thrift::protocol::T_DOUBLE, 12);
+  xfer += oprot->writeDouble(this->recent_repeats);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -757,57 +825,72 @@
   swap(a.on_trial, b.on_trial);
   swap(a.suspicion, b.suspicion);
   swap(a.idle, b.idle);
+  swap(a.run_ms_by_kind, b.run_ms_by_kind);
+  swap(a.recent_runs, b.recent_runs);
+  swap(a.recent_repeats, b.recent_repeats);
   swap(a.__isset, b.__isset);
 }
 
-target_report::target_report(const target_report& other12) {
-  target = other12.target;
-  running = other12.running;
-  waiting = other12.waiting;
-  slots = other12.slots;
-  run_ms = other12.run_ms;
-  ejected = other12.ejected;
-  on_trial = other12.on_trial;
-  suspicion = other12.suspicion;
-  idle = other12.idle;
-  __isset = other12.__isset;
-}
-target_report::target_report(target_report&& other13) noexcept {
-  target = std::move(other13.target);
-  running = other13.running;
-  waiting = other13.waiting;
-  slots = other13.slots;
-  run_ms = other13.run_ms;
-  ejected = other13.ejected;
-  on_trial = other13.on_trial;
-  suspicion = other13.suspicion;
-  idle = other13.idle;
-  __isset = other13.__isset;
-}
-target_report& target_report::operator=(const target_report& other14) {
-  target = other14.target;
-  running = other14.running;
-  waiting = other14.waiting;
-  slots = other14.slots;
-  run_ms = other14.run_ms;
-  ejected = other14.ejected;
-  on_trial = other14.on_trial;
-  suspicion = other14.suspicion;
-  idle = other14.idle;
-  __isset = other14.__isset;
+target_report::target_report(const target_report& other18) {
+  target = other18.target;
+  running = other18.running;
+  waiting = other18.waiting;
+  slots = other18.slots;
+  run_ms = other18.run_ms;
+  ejected = other18.ejected;
+  on_trial = other18.on_trial;
+  suspicion = other18.suspicion;
+  idle = other18.idle;
+  run_ms_by_kind = other18.run_ms_by_kind;
+  recent_runs = other18.recent_runs;
+  recent_repeats = other18.recent_repeats;
+  __isset = other18.__isset;
+}
+target_report::target_report(target_report&& other19) noexcept {
+  target = std::move(other19.target);
+  running = other19.running;
+  waiting = other19.waiting;
+  slots = other19.slots;
+  run_ms = other19.run_ms;
+  ejected = other19.ejected;
+  on_trial = other19.on_trial;
+  suspicion = other19.suspicion;
+  idle = other19.idle;
+  run_ms_by_kind = std::move(other19.run_ms_by_kind);
+  recent_runs = other19.recent_runs;
+  recent_repeats = other19.recent_repeats;
+  __isset = other19.__isset;
+}
+target_report& target_report::operator=(const target_report& other20) {
+  target = other20.target;
+  running = other20.running;
+  waiting = other20.waiting;
+  slots = other20.slots;
+  run_ms = other20.run_ms;
+  ejected = other20.ejected;
+  on_trial = other20.on_trial;
+  suspicion = other20.suspicion;
+  idle = other20.idle;
+  run_ms_by_kind = other20.run_ms_by_kind;
+  recent_runs = other20.recent_runs;
+  recent_repeats = other20.recent_repeats;
+  __isset = other20.__isset;
   return *this;
 }
-target_report& target_report::operator=(target_report&& other15) noexcept {
-  target = std::move(other15.target);
-  running = other15.running;
-  waiting = other15.waiting;
-  slots = other15.slots;
-  run_ms = other15.run_ms;
-  ejected = other15.ejected;
-  on_trial = other15.on_trial;
-  suspicion = other15.suspicion;
-  idle = other15.idle;
-  __isset = other15.__isset;
+target_report& target_report::operator=(target_report&& other21) noexcept {
+  target = std::move(other21.target);
+  running = other21.running;
+  waiting = other21.waiting;
+  slots = other21.slots;
+  run_ms = other21.run_ms;
+  ejected = other21.ejected;
+  on_trial = other21.on_trial;
+  suspicion = other21.suspicion;
+  idle = other21.idle;
+  run_ms_by_kind = std::move(other21.run_ms_by_kind);
+  recent_runs = other21.recent_runs;
+  recent_repeats = other21.recent_repeats;
+  __isset = other21.__isset;
   return *this;
 }
 void target_report::printTo(std::ostream& out) const {
@@ -822,6 +905,9 @@
   out << ", " << "on_trial=" << to_string(on_trial);
   out << ", " << "suspicion=" << to_string(suspicion);
   out << ", " << "idle=" << to_string(idle);
+  out << ", " << "run_ms_by_kind=" << to_string(run_ms_by_kind);
+  out << ", " << "recent_runs=" << to_string(recent_runs);
+  out << ", " << "recent_repeats=" << to_string(recent_repeats);
   out << ")";
 }
 
@@ -969,38 +1055,38 @@
   swap(a.__isset, b.__isset);
 }
 
-hello::hello(const hello& other16) {
-  boot = other16.boot;
-  link = other16.link;
-  host = other16.host;
-  zone = other16.zone;
-  versions = other16.versions;
-  __isset = other16.__isset;
-}
-hello::hello(hello&& other17) noexcept {
-  boot = other17.boot;
-  link = other17.link;
-  host = std::move(other17.host);
-  zone = std::move(other17.zone);
-  versions = std::move(other17.versions);
-  __isset = other17.__isset;
-}
-hello& hello::operator=(const hello& other18) {
-  boot = other18.boot;
-  link = other18.link;
-  host = other18.host;
-  zone = other18.zone;
-  versions = other18.versions;
-  __isset = other18.__isset;
+hello::hello(const hello& other22) {
+  boot = other22.boot;
+  link = other22.link;
+  host = other22.host;
+  zone = other22.zone;
+  versions = other22.versions;
+  __isset = other22.__isset;
+}
+hello::hello(hello&& other23) noexcept {
+  boot = other23.boot;
+  link = other23.link;
+  host = std::move(other23.host);
+  zone = std::move(other23.zone);
+  versions = std::move(other23.versions);
+  __isset = other23.__isset;
+}
+hello& hello::operator=(const hello& other24) {
+  boot = other24.boot;
+  link = other24.link;
+  host = other24.host;
+  zone = other24.zone;
+  versions = other24.versions;
+  __isset = other24.__isset;
   return *this;
 }
-hello& hello::operator=(hello&& other19) noexcept {
-  boot = other19.boot;
-  link = other19.link;
-  host = std::move(other19.host);
-  zone = std::move(other19.zone);
-  versions = std::move(other19.versions);
-  __isset = other19.__isset;
+hello& hello::operator=(hello&& other25) noexcept {
+  boot = other25.boot;
+  link = other25.link;
+  host = std::move(other25.host);
+  zone = std::move(other25.zone);
+  versions = std::move(other25.versions);
+  __isset = other25.__isset;
   return *this;
 }
 void hello::printTo(std::ostream& out) const {
@@ -1177,42 +1263,42 @@
   swap(a.__isset, b.__isset);
 }
 
-welcome::welcome(const welcome& other20) {
-  boot = other20.boot;
-  host = other20.host;
-  accepted = other20.accepted;
-  draining = other20.draining;
-  versions = other20.versions;
-  report = other20.report;
-  __isset = other20.__isset;
-}
-welcome::welcome(welcome&& other21) noexcept {
-  boot = other21.boot;
-  host = std::move(other21.host);
-  accepted = other21.accepted;
-  draining = other21.draining;
-  versions = std::move(other21.versions);
-  report = std::move(other21.report);
-  __isset = other21.__isset;
-}
-welcome& welcome::operator=(const welcome& other22) {
-  boot = other22.boot;
-  host = other22.host;
-  accepted = other22.accepted;
-  draining = other22.draining;
-  versions = other22.versions;
-  report = other22.report;
-  __isset = other22.__isset;
+welcome::welcome(const welcome& other26) {
+  boot = other26.boot;
+  host = other26.host;
+  accepted = other26.accepted;
+  draining = other26.draining;
+  versions = other26.versions;
+  report = other26.report;
+  __isset = other26.__isset;
+}
+welcome::welcome(welcome&& other27) noexcept {
+  boot = other27.boot;
+  host = std::move(other27.host);
+  accepted = other27.accepted;
+  draining = other27.draining;
+  versions = std::move(other27.versions);
+  report = std::move(other27.report);
+  __isset = other27.__isset;
+}
+welcome& welcome::operator=(const welcome& other28) {
+  boot = other28.boot;
+  host = other28.host;
+  accepted = other28.accepted;
+  draining = other28.draining;
+  versions = other28.versions;
+  report = other28.report;
+  __isset = other28.__isset;
   return *this;
 }
-welcome& welcome::operator=(welcome&& other23) noexcept {
-  boot = other23.boot;
-  host = std::move(other23.host);
-  accepted = other23.accepted;
-  draining = other23.draining;
-  versions = std::move(other23.versions);
-  report = std::move(other23.report);
-  __isset = other23.__isset;
+welcome& welcome::operator=(welcome&& other29) noexcept {
+  boot = other29.boot;
+  host = std::move(other29.host);
+  accepted = other29.accepted;
+  draining = other29.draining;
+  versions = std::move(other29.versions);
+  report = std::move(other29.report);
+  __isset = other29.__isset;
   return *this;
 }
 void welcome::printTo(std::ostream& out) const {
@@ -1436,14 +1522,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->headers.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->headers.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->headers[_i28].read(iprot);
+              xfer += this->headers[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1608,10 +1694,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<header_field> ::const_iterator _iter29;
-    for (_iter29 = this->headers.begin(); _iter29 != this->headers.end(); ++_iter29)
+    std::vector<header_field> ::const_iterator _iter35;
+    for (_iter35 = this->headers.begin(); _iter35 != this->headers.end(); ++_iter35)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1699,110 +1785,110 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_begin::attempt_begin(const attempt_begin& other30) {
-  attempt = other30.attempt;
-  guard_boot = other30.guard_boot;
-  request_id = other30.request_id;
-  organisation = other30.organisation;
-  key_id = other30.key_id;
-  rules_version = other30.rules_version;
-  service_name = other30.service_name;
-  target_name = other30.target_name;
-  method = other30.method;
-  path = other30.path;
-  headers = other30.headers;
-  body_length = other30.body_length;
-  deadline_ms = other30.deadline_ms;
-  idempotent = other30.idempotent;
-  caller_service = other30.caller_service;
-  objective_ms = other30.objective_ms;
-  priority = other30.priority;
-  nested = other30.nested;
-  may_wait = other30.may_wait;
-  allow_ejected = other30.allow_ejected;
-  chunked_body = other30.chunked_body;
-  download = other30.download;
-  repeat = other30.repeat;
-  __isset = other30.__isset;
-}
-attempt_begin::attempt_begin(attempt_begin&& other31) noexcept {
-  attempt = std::move(other31.attempt);
-  guard_boot = other31.guard_boot;
-  request_id = std::move(other31.request_id);
-  organisation = std::move(other31.organisation);
-  key_id = std::move(other31.key_id);
-  rules_version = other31.rules_version;
-  service_name = std::move(other31.service_name);
-  target_name = std::move(other31.target_name);
-  method = std::move(other31.method);
-  path = std::move(other31.path);
-  headers = std::move(other31.headers);
-  body_length = other31.body_length;
-  deadline_ms = other31.deadline_ms;
-  idempotent = other31.idempotent;
-  caller_service = std::move(other31.caller_service);
-  objective_ms = other31.objective_ms;
-  priority = other31.priority;
-  nested = other31.nested;
-  may_wait = other31.may_wait;
-  allow_ejected = other31.allow_ejected;
-  chunked_body = other31.chunked_body;
-  download = other31.download;
-  repeat = other31.repeat;
-  __isset = other31.__isset;
-}
-attempt_begin& attempt_begin::operator=(const attempt_begin& other32) {
-  attempt = other32.attempt;
-  guard_boot = other32.guard_boot;
-  request_id = other32.request_id;
-  organisation = other32.organisation;
-  key_id = other32.key_id;
-  rules_version = other32.rules_version;
-  service_name = other32.service_name;
-  target_name = other32.target_name;
-  method = other32.method;
-  path = other32.path;
-  headers = other32.headers;
-  body_length = other32.body_length;
-  deadline_ms = other32.deadline_ms;
-  idempotent = other32.idempotent;
-  caller_service = other32.caller_service;
-  objective_ms = other32.objective_ms;
-  priority = other32.priority;
-  nested = other32.nested;
-  may_wait = other32.may_wait;
-  allow_ejected = other32.allow_ejected;
-  chunked_body = other32.chunked_body;
-  download = other32.download;
-  repeat = other32.repeat;
-  __isset = other32.__isset;
+attempt_begin::attempt_begin(const attempt_begin& other36) {
+  attempt = other36.attempt;
+  guard_boot = other36.guard_boot;
+  request_id = other36.request_id;
+  organisation = other36.organisation;
+  key_id = other36.key_id;
+  rules_version = other36.rules_version;
+  service_name = other36.service_name;
+  target_name = other36.target_name;
+  method = other36.method;
+  path = other36.path;
+  headers = other36.headers;
+  body_length = other36.body_length;
+  deadline_ms = other36.deadline_ms;
+  idempotent = other36.idempotent;
+  caller_service = other36.caller_service;
+  objective_ms = other36.objective_ms;
+  priority = other36.priority;
+  nested = other36.nested;
+  may_wait = other36.may_wait;
+  allow_ejected = other36.allow_ejected;
+  chunked_body = other36.chunked_body;
+  download = other36.download;
+  repeat = other36.repeat;
+  __isset = other36.__isset;
+}
+attempt_begin::attempt_begin(attempt_begin&& other37) noexcept {
+  attempt = std::move(other37.attempt);
+  guard_boot = other37.guard_boot;
+  request_id = std::move(other37.request_id);
+  organisation = std::move(other37.organisation);
+  key_id = std::move(other37.key_id);
+  rules_version = other37.rules_version;
+  service_name = std::move(other37.service_name);
+  target_name = std::move(other37.target_name);
+  method = std::move(other37.method);
+  path = std::move(other37.path);
+  headers = std::move(other37.headers);
+  body_length = other37.body_length;
+  deadline_ms = other37.deadline_ms;
+  idempotent = other37.idempotent;
+  caller_service = std::move(other37.caller_service);
+  objective_ms = other37.objective_ms;
+  priority = other37.priority;
+  nested = other37.nested;
+  may_wait = other37.may_wait;
+  allow_ejected = other37.allow_ejected;
+  chunked_body = other37.chunked_body;
+  download = other37.download;
+  repeat = other37.repeat;
+  __isset = other37.__isset;
+}
+attempt_begin& attempt_begin::operator=(const attempt_begin& other38) {
+  attempt = other38.attempt;
+  guard_boot = other38.guard_boot;
+  request_id = other38.request_id;
+  organisation = other38.organisation;
+  key_id = other38.key_id;
+  rules_version = other38.rules_version;
+  service_name = other38.service_name;
+  target_name = other38.target_name;
+  method = other38.method;
+  path = other38.path;
+  headers = other38.headers;
+  body_length = other38.body_length;
+  deadline_ms = other38.deadline_ms;
+  idempotent = other38.idempotent;
+  caller_service = other38.caller_service;
+  objective_ms = other38.objective_ms;
+  priority = other38.priority;
+  nested = other38.nested;
+  may_wait = other38.may_wait;
+  allow_ejected = other38.allow_ejected;
+  chunked_body = other38.chunked_body;
+  download = other38.download;
+  repeat = other38.repeat;
+  __isset = other38.__isset;
   return *this;
 }
-attempt_begin& attempt_begin::operator=(attempt_begin&& other33) noexcept {
-  attempt = std::move(other33.attempt);
-  guard_boot = other33.guard_boot;
-  request_id = std::move(other33.request_id);
-  organisation = std::move(other33.organisation);
-  key_id = std::move(other33.key_id);
-  rules_version = other33.rules_version;
-  service_name = std::move(other33.service_name);
-  target_name = std::move(other33.target_name);
-  method = std::move(other33.method);
-  path = std::move(other33.path);
-  headers = std::move(other33.headers);
-  body_length = other33.body_length;
-  deadline_ms = other33.deadline_ms;
-  idempotent = other33.idempotent;
-  caller_service = std::move(other33.caller_service);
-  objective_ms = other33.objective_ms;
-  priority = other33.priority;
-  nested = other33.nested;
-  may_wait = other33.may_wait;
-  allow_ejected = other33.allow_ejected;
-  chunked_body = other33.chunked_body;
-  download = other33.download;
-  repeat = other33.repeat;
-  __isset = other33.__isset;
+attempt_begin& attempt_begin::operator=(attempt_begin&& other39) noexcept {
+  attempt = std::move(other39.attempt);
+  guard_boot = other39.guard_boot;
+  request_id = std::move(other39.request_id);
+  organisation = std::move(other39.organisation);
+  key_id = std::move(other39.key_id);
+  rules_version = other39.rules_version;
+  service_name = std::move(other39.service_name);
+  target_name = std::move(other39.target_name);
+  method = std::move(other39.method);
+  path = std::move(other39.path);
+  headers = std::move(other39.headers);
+  body_length = other39.body_length;
+  deadline_ms = other39.deadline_ms;
+  idempotent = other39.idempotent;
+  caller_service = std::move(other39.caller_service);
+  objective_ms = other39.objective_ms;
+  priority = other39.priority;
+  nested = other39.nested;
+  may_wait = other39.may_wait;
+  allow_ejected = other39.allow_ejected;
+  chunked_body = other39.chunked_body;
+  download = other39.download;
+  repeat = other39.repeat;
+  __isset = other39.__isset;
   return *this;
 }
 void attempt_begin::printTo(std::ostream& out) const {
@@ -1961,34 +2047,34 @@
   swap(a.__isset, b.__isset);
 }
 
-body_part::body_part(const body_part& other34) {
-  attempt = other34.attempt;
-  bytes = other34.bytes;
-  last = other34.last;
-  whole = other34.whole;
-  __isset = other34.__isset;
+body_part::body_part(const body_part& other40) {
+  attempt = other40.attempt;
+  bytes = other40.bytes;
+  last = other40.last;
+  whole = other40.whole;
+  __isset = other40.__isset;
 }
-body_part::body_part(body_part&& other35) noexcept {
-  attempt = std::move(other35.attempt);
-  bytes = std::move(other35.bytes);
-  last = other35.last;
-  whole = other35.whole;
-  __isset = other35.__isset;
+body_part::body_part(body_part&& other41) noexcept {
+  attempt = std::move(other41.attempt);
+  bytes = std::move(other41.bytes);
+  last = other41.last;
+  whole = other41.whole;
+  __isset = other41.__isset;
 }
-body_part& body_part::operator=(const body_part& other36) {
-  attempt = other36.attempt;
-  bytes = other36.bytes;
-  last = other36.last;
-  whole = other36.whole;
-  __isset = other36.__isset;
+body_part& body_part::operator=(const body_part& other42) {
+  attempt = other42.attempt;
+  bytes = other42.bytes;
+  last = other42.last;
+  whole = other42.whole;
+  __isset = other42.__isset;
   return *this;
 }
-body_part& body_part::operator=(body_part&& other37) noexcept {
-  attempt = std::move(other37.attempt);
-  bytes = std::move(other37.bytes);
-  last = other37.last;
-  whole = other37.whole;
-  __isset = other37.__isset;
+body_part& body_part::operator=(body_part&& other43) noexcept {
+  attempt = std::move(other43.attempt);
+  bytes = std::move(other43.bytes);
+  last = other43.last;
+  whole = other43.whole;
+  __isset = other43.__isset;
   return *this;
 }
 void body_part::printTo(std::ostream& out) const {
@@ -2094,26 +2180,26 @@
   swap(a.__isset, b.__isset);
 }
 
-body_credit::body_credit(const body_credit& other38) noexcept {
-  attempt = other38.attempt;
-  bytes = other38.bytes;
-  __isset = other38.__isset;
+body_credit::body_credit(const body_credit& other44) noexcept {
+  attempt = other44.attempt;
+  bytes = other44.bytes;
+  __isset = other44.__isset;
 }
-body_credit::body_credit(body_credit&& other39) noexcept {
-  attempt = std::move(other39.attempt);
-  bytes = other39.bytes;
-  __isset = other39.__isset;
+body_credit::body_credit(body_credit&& other45) noexcept {
+  attempt = std::move(other45.attempt);
+  bytes = other45.bytes;
+  __isset = other45.__isset;
 }
-body_credit& body_credit::operator=(const body_credit& other40) noexcept {
-  attempt = other40.attempt;
-  bytes = other40.bytes;
-  __isset = other40.__isset;
+body_credit& body_credit::operator=(const body_credit& other46) noexcept {
+  attempt = other46.attempt;
+  bytes = other46.bytes;
+  __isset = other46.__isset;
   return *this;
 }
-body_credit& body_credit::operator=(body_credit&& other41) noexcept {
-  attempt = std::move(other41.attempt);
-  bytes = other41.bytes;
-  __isset = other41.__isset;
+body_credit& body_credit::operator=(body_credit&& other47) noexcept {
+  attempt = std::move(other47.attempt);
+  bytes = other47.bytes;
+  __isset = other47.__isset;
   return *this;
 }
 void body_credit::printTo(std::ostream& out) const {
@@ -2200,22 +2286,22 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_cancel::attempt_cancel(const attempt_cancel& other42) noexcept {
-  attempt = other42.attempt;
-  __isset = other42.__isset;
+attempt_cancel::attempt_cancel(const attempt_cancel& other48) noexcept {
+  attempt = other48.attempt;
+  __isset = other48.__isset;
 }
-attempt_cancel::attempt_cancel(attempt_cancel&& other43) noexcept {
-  attempt = std::move(other43.attempt);
-  __isset = other43.__isset;
+attempt_cancel::attempt_cancel(attempt_cancel&& other49) noexcept {
+  attempt = std::move(other49.attempt);
+  __isset = other49.__isset;
 }
-attempt_cancel& attempt_cancel::operator=(const attempt_cancel& other44) noexcept {
-  attempt = other44.attempt;
-  __isset = other44.__isset;
+attempt_cancel& attempt_cancel::operator=(const attempt_cancel& other50) noexcept {
+  attempt = other50.attempt;
+  __isset = other50.__isset;
   return *this;
 }
-attempt_cancel& attempt_cancel::operator=(attempt_cancel&& other45) noexcept {
-  attempt = std::move(other45.attempt);
-  __isset = other45.__isset;
+attempt_cancel& attempt_cancel::operator=(attempt_cancel&& other51) noexcept {
+  attempt = std::move(other51.attempt);
+  __isset = other51.__isset;
   return *this;
 }
 void attempt_cancel::printTo(std::ostream& out) const {
@@ -2299,14 +2385,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->headers.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->headers.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->headers[_i50].read(iprot);
+              xfer += this->headers[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2359,10 +2445,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<header_field> ::const_iterator _iter51;
-    for (_iter51 = this->headers.begin(); _iter51 != this->headers.end(); ++_iter51)
+    std::vector<header_field> ::const_iterator _iter57;
+    for (_iter57 = this->headers.begin(); _iter57 != this->headers.end(); ++_iter57)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2393,38 +2479,38 @@
   swap(a.__isset, b.__isset);
 }
 
-answer_head::answer_head(const answer_head& other52) {
-  attempt = other52.attempt;
-  status = other52.status;
-  headers = other52.headers;
-  length = other52.length;
-  report = other52.report;
-  __isset = other52.__isset;
-}
-answer_head::answer_head(answer_head&& other53) noexcept {
-  attempt = std::move(other53.attempt);
-  status = other53.status;
-  headers = std::move(other53.headers);
-  length = other53.length;
-  report = std::move(other53.report);
-  __isset = other53.__isset;
-}
-answer_head& answer_head::operator=(const answer_head& other54) {
-  attempt = other54.attempt;
-  status = other54.status;
-  headers = other54.headers;
-  length = other54.length;
-  report = other54.report;
-  __isset = other54.__isset;
+answer_head::answer_head(const answer_head& other58) {
+  attempt = other58.attempt;
+  status = other58.status;
+  headers = other58.headers;
+  length = other58.length;
+  report = other58.report;
+  __isset = other58.__isset;
+}
+answer_head::answer_head(answer_head&& other59) noexcept {
+  attempt = std::move(other59.attempt);
+  status = other59.status;
+  headers = std::move(other59.headers);
+  length = other59.length;
+  report = std::move(other59.report);
+  __isset = other59.__isset;
+}
+answer_head& answer_head::operator=(const answer_head& other60) {
+  attempt = other60.attempt;
+  status = other60.status;
+  headers = other60.headers;
+  length = other60.length;
+  report = other60.report;
+  __isset = other60.__isset;
   return *this;
 }
-answer_head& answer_head::operator=(answer_head&& other55) noexcept {
-  attempt = std::move(other55.attempt);
-  status = other55.status;
-  headers = std::move(other55.headers);
-  length = other55.length;
-  report = std::move(other55.report);
-  __isset = other55.__isset;
+answer_head& answer_head::operator=(answer_head&& other61) noexcept {
+  attempt = std::move(other61.attempt);
+  status = other61.status;
+  headers = std::move(other61.headers);
+  length = other61.length;
+  report = std::move(other61.report);
+  __isset = other61.__isset;
   return *this;
 }
 void answer_head::printTo(std::ostream& out) const {
@@ -2497,9 +2583,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast56;
-          xfer += iprot->readI32(ecast56);
-          this->reason = static_cast<refusal_reason>(ecast56);
+          int32_t ecast62;
+          xfer += iprot->readI32(ecast62);
+          this->reason = static_cast<refusal_reason>(ecast62);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2569,34 +2655,34 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_refused::attempt_refused(const attempt_refused& other57) {
-  attempt = other57.attempt;
-  reason = other57.reason;
-  retry_after_ms = other57.retry_after_ms;
-  report = other57.report;
-  __isset = other57.__isset;
+attempt_refused::attempt_refused(const attempt_refused& other63) {
+  attempt = other63.attempt;
+  reason = other63.reason;
+  retry_after_ms = other63.retry_after_ms;
+  report = other63.report;
+  __isset = other63.__isset;
 }
-attempt_refused::attempt_refused(attempt_refused&& other58) noexcept {
-  attempt = std::move(other58.attempt);
-  reason = other58.reason;
-  retry_after_ms = other58.retry_after_ms;
-  report = std::move(other58.report);
-  __isset = other58.__isset;
+attempt_refused::attempt_refused(attempt_refused&& other64) noexcept {
+  attempt = std::move(other64.attempt);
+  reason = other64.reason;
+  retry_after_ms = other64.retry_after_ms;
+  report = std::move(other64.report);
+  __isset = other64.__isset;
 }
-attempt_refused& attempt_refused::operator=(const attempt_refused& other59) {
-  attempt = other59.attempt;
-  reason = other59.reason;
-  retry_after_ms = other59.retry_after_ms;
-  report = other59.report;
-  __isset = other59.__isset;
+attempt_refused& attempt_refused::operator=(const attempt_refused& other65) {
+  attempt = other65.attempt;
+  reason = other65.reason;
+  retry_after_ms = other65.retry_after_ms;
+  report = other65.report;
+  __isset = other65.__isset;
   return *this;
 }
-attempt_refused& attempt_refused::operator=(attempt_refused&& other60) noexcept {
-  attempt = std::move(other60.attempt);
-  reason = other60.reason;
-  retry_after_ms = other60.retry_after_ms;
-  report = std::move(other60.report);
-  __isset = other60.__isset;
+attempt_refused& attempt_refused::operator=(attempt_refused&& other66) noexcept {
+  attempt = std::move(other66.attempt);
+  reason = other66.reason;
+  retry_after_ms = other66.retry_after_ms;
+  report = std::move(other66.report);
+  __isset = other66.__isset;
   return *this;
 }
 void attempt_refused::printTo(std::ostream& out) const {
@@ -2664,9 +2750,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast61;
-          xfer += iprot->readI32(ecast61);
-          this->reason = static_cast<failure_reason>(ecast61);
+          int32_t ecast67;
+          xfer += iprot->readI32(ecast67);
+          this->reason = static_cast<failure_reason>(ecast67);
           this->__isset.reason = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2723,30 +2809,30 @@
   swap(a.__isset, b.__isset);
 }
 
-attempt_failed::attempt_failed(const attempt_failed& other62) {
-  attempt = other62.attempt;
-  reason = other62.reason;
-  report = other62.report;
-  __isset = other62.__isset;
+attempt_failed::attempt_failed(const attempt_failed& other68) {
+  attempt = other68.attempt;
+  reason = other68.reason;
+  report = other68.report;
+  __isset = other68.__isset;
 }
-attempt_failed::attempt_failed(attempt_failed&& other63) noexcept {
-  attempt = std::move(other63.attempt);
-  reason = other63.reason;
-  report = std::move(other63.report);
-  __isset = other63.__isset;
+attempt_failed::attempt_failed(attempt_failed&& other69) noexcept {
+  attempt = std::move(other69.attempt);
+  reason = other69.reason;
+  report = std::move(other69.report);
+  __isset = other69.__isset;
 }
-attempt_failed& attempt_failed::operator=(const attempt_failed& other64) {
-  attempt = other64.attempt;
-  reason = other64.reason;
-  report = other64.report;
-  __isset = other64.__isset;
+attempt_failed& attempt_failed::operator=(const attempt_failed& other70) {
+  attempt = other70.attempt;
+  reason = other70.reason;
+  report = other70.report;
+  __isset = other70.__isset;
   return *this;
 }
-attempt_failed& attempt_failed::operator=(attempt_failed&& other65) noexcept {
-  attempt = std::move(other65.attempt);
-  reason = other65.reason;
-  report = std::move(other65.report);
-  __isset = other65.__isset;
+attempt_failed& attempt_failed::operator=(attempt_failed&& other71) noexcept {
+  attempt = std::move(other71.attempt);
+  reason = other71.reason;
+  report = std::move(other71.report);
+  __isset = other71.__isset;
   return *this;
 }
 void attempt_failed::printTo(std::ostream& out) const {
@@ -2822,14 +2908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sequences.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->sequences.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->sequences.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += iprot->readI64(this->sequences[_i70]);
+              xfer += iprot->readI64(this->sequences[_i76]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2866,10 +2952,10 @@
   xfer += oprot->writeFieldBegin("sequences", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->sequences.size()));
-    std::vector<int64_t> ::const_iterator _iter71;
-    for (_iter71 = this->sequences.begin(); _iter71 != this->sequences.end(); ++_iter71)
+    std::vector<int64_t> ::const_iterator _iter77;
+    for (_iter77 = this->sequences.begin(); _iter77 != this->sequences.end(); ++_iter77)
     {
-      xfer += oprot->writeI64((*_iter71));
+      xfer += oprot->writeI64((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2888,30 +2974,30 @@
   swap(a.__isset, b.__isset);
 }
 
-resolve::resolve(const resolve& other72) {
-  link = other72.link;
-  guard_boot = other72.guard_boot;
-  sequences = other72.sequences;
-  __isset = other72.__isset;
+resolve::resolve(const resolve& other78) {
+  link = other78.link;
+  guard_boot = other78.guard_boot;
+  sequences = other78.sequences;
+  __isset = other78.__isset;
 }
-resolve::resolve(resolve&& other73) noexcept {
-  link = other73.link;
-  guard_boot = other73.guard_boot;
-  sequences = std::move(other73.sequences);
-  __isset = other73.__isset;
+resolve::resolve(resolve&& other79) noexcept {
+  link = other79.link;
+  guard_boot = other79.guard_boot;
+  sequences = std::move(other79.sequences);
+  __isset = other79.__isset;
 }
-resolve& resolve::operator=(const resolve& other74) {
-  link = other74.link;
-  guard_boot = other74.guard_boot;
-  sequences = other74.sequences;
-  __isset = other74.__isset;
+resolve& resolve::operator=(const resolve& other80) {
+  link = other80.link;
+  guard_boot = other80.guard_boot;
+  sequences = other80.sequences;
+  __isset = other80.__isset;
   return *this;
 }
-resolve& resolve::operator=(resolve&& other75) noexcept {
-  link = other75.link;
-  guard_boot = other75.guard_boot;
-  sequences = std::move(other75.sequences);
-  __isset = other75.__isset;
+resolve& resolve::operator=(resolve&& other81) noexcept {
+  link = other81.link;
+  guard_boot = other81.guard_boot;
+  sequences = std::move(other81.sequences);
+  __isset = other81.__isset;
   return *this;
 }
 void resolve::printTo(std::ostream& out) const {
@@ -2973,9 +3059,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast76;
-          xfer += iprot->readI32(ecast76);
-          this->state = static_cast<attempt_state>(ecast76);
+          int32_t ecast82;
+          xfer += iprot->readI32(ecast82);
+          this->state = static_cast<attempt_state>(ecast82);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3018,26 +3104,26 @@
   swap(a.__isset, b.__isset);
 }
 
-resolved_attempt::resolved_attempt(const resolved_attempt& other77) noexcept {
-  sequence = other77.sequence;
-  state = other77.state;
-  __isset = other77.__isset;
+resolved_attempt::resolved_attempt(const resolved_attempt& other83) noexcept {
+  sequence = other83.sequence;
+  state = other83.state;
+  __isset = other83.__isset;
 }
-resolved_attempt::resolved_attempt(resolved_attempt&& other78) noexcept {
-  sequence = other78.sequence;
-  state = other78.state;
-  __isset = other78.__isset;
+resolved_attempt::resolved_attempt(resolved_attempt&& other84) noexcept {
+  sequence = other84.sequence;
+  state = other84.state;
+  __isset = other84.__isset;
 }
-resolved_attempt& resolved_attempt::operator=(const resolved_attempt& other79) noexcept {
-  sequence = other79.sequence;
-  state = other79.state;
-  __isset = other79.__isset;
+resolved_attempt& resolved_attempt::operator=(const resolved_attempt& other85) noexcept {
+  sequence = other85.sequence;
+  state = other85.state;
+  __isset = other85.__isset;
   return *this;
 }
-resolved_attempt& resolved_attempt::operator=(resolved_attempt&& other80) noexcept {
-  sequence = other80.sequence;
-  state = other80.state;
-  __isset = other80.__isset;
+resolved_attempt& resolved_attempt::operator=(resolved_attempt&& other86) noexcept {
+  sequence = other86.sequence;
+  state = other86.state;
+  __isset = other86.__isset;
   return *this;
 }
 void resolved_attempt::printTo(std::ostream& out) const {
@@ -3100,14 +3186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->attempts.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->attempts.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->attempts[_i85].read(iprot);
+              xfer += this->attempts[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3140,10 +3226,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<resolved_attempt> ::const_iterator _iter86;
-    for (_iter86 = this->attempts.begin(); _iter86 != this->attempts.end(); ++_iter86)
+    std::vector<resolved_attempt> ::const_iterator _iter92;
+    for (_iter92 = this->attempts.begin(); _iter92 != this->attempts.end(); ++_iter92)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3161,26 +3247,26 @@
   swap(a.__isset, b.__isset);
 }
 
-resolution::resolution(const resolution& other87) {
-  link = other87.link;
-  attempts = other87.attempts;
-  __isset = other87.__isset;
+resolution::resolution(const resolution& other93) {
+  link = other93.link;
+  attempts = other93.attempts;
+  __isset = other93.__isset;
 }
-resolution::resolution(resolution&& other88) noexcept {
-  link = other88.link;
-  attempts = std::move(other88.attempts);
-  __isset = other88.__isset;
+resolution::resolution(resolution&& other94) noexcept {
+  link = other94.link;
+  attempts = std::move(other94.attempts);
+  __isset = other94.__isset;
 }
-resolution& resolution::operator=(const resolution& other89) {
-  link = other89.link;
-  attempts = other89.attempts;
-  __isset = other89.__isset;
+resolution& resolution::operator=(const resolution& other95) {
+  link = other95.link;
+  attempts = other95.attempts;
+  __isset = other95.__isset;
   return *this;
 }
-resolution& resolution::operator=(resolution&& other90) noexcept {
-  link = other90.link;
-  attempts = std::move(other90.attempts);
-  __isset = other90.__isset;
+resolution& resolution::operator=(resolution&& other96) noexcept {
+  link = other96.link;
+  attempts = std::move(other96.attempts);
+  __isset = other96.__isset;
   return *this;
 }
 void resolution::printTo(std::ostream& out) const {
@@ -3284,26 +3370,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ping::ping(const ping& other91) noexcept {
-  nonce = other91.nonce;
-  versions = other91.versions;
-  __isset = other91.__isset;
+ping::ping(const ping& other97) noexcept {
+  nonce = other97.nonce;
+  versions = other97.versions;
+  __isset = other97.__isset;
 }
-ping::ping(ping&& other92) noexcept {
-  nonce = other92.nonce;
-  versions = std::move(other92.versions);
-  __isset = other92.__isset;
+ping::ping(ping&& other98) noexcept {
+  nonce = other98.nonce;
+  versions = std::move(other98.versions);
+  __isset = other98.__isset;
 }
-ping& ping::operator=(const ping& other93) noexcept {
-  nonce = other93.nonce;
-  versions = other93.versions;
-  __isset = other93.__isset;
+ping& ping::operator=(const ping& other99) noexcept {
+  nonce = other99.nonce;
+  versions = other99.versions;
+  __isset = other99.__isset;
   return *this;
 }
-ping& ping::operator=(ping&& other94) noexcept {
-  nonce = other94.nonce;
-  versions = std::move(other94.versions);
-  __isset = other94.__isset;
+ping& ping::operator=(ping&& other100) noexcept {
+  nonce = other100.nonce;
+  versions = std::move(other100.versions);
+  __isset = other100.__isset;
   return *this;
 }
 void ping::printTo(std::ostream& out) const {
@@ -3426,30 +3512,30 @@
   swap(a.__isset, b.__isset);
 }
 
-pong::pong(const pong& other95) {
-  nonce = other95.nonce;
-  versions = other95.versions;
-  report = other95.report;
-  __isset = other95.__isset;
+pong::pong(const pong& other101) {
+  nonce = other101.nonce;
+  versions = other101.versions;
+  report = other101.report;
+  __isset = other101.__isset;
 }
-pong::pong(pong&& other96) noexcept {
-  nonce = other96.nonce;
-  versions = std::move(other96.versions);
-  report = std::move(other96.report);
-  __isset = other96.__isset;
+pong::pong(pong&& other102) noexcept {
+  nonce = other102.nonce;
+  versions = std::move(other102.versions);
+  report = std::move(other102.report);
+  __isset = other102.__isset;
 }
-pong& pong::operator=(const pong& other97) {
-  nonce = other97.nonce;
-  versions = other97.versions;
-  report = other97.report;
-  __isset = other97.__isset;
+pong& pong::operator=(const pong& other103) {
+  nonce = other103.nonce;
+  versions = other103.versions;
+  report = other103.report;
+  __isset = other103.__isset;
   return *this;
 }
-pong& pong::operator=(pong&& other98) noexcept {
-  nonce = other98.nonce;
-  versions = std::move(other98.versions);
-  report = std::move(other98.report);
-  __isset = other98.__isset;
+pong& pong::operator=(pong&& other104) noexcept {
+  nonce = other104.nonce;
+  versions = std::move(other104.versions);
+  report = std::move(other104.report);
+  __isset = other104.__isset;
   return *this;
 }
 void pong::printTo(std::ostream& out) const {
@@ -3537,22 +3623,22 @@
   swap(a.__isset, b.__isset);
 }
 
-drain_notice::drain_notice(const drain_notice& other99) {
-  host = other99.host;
-  __isset = other99.__isset;
+drain_notice::drain_notice(const drain_notice& other105) {
+  host = other105.host;
+  __isset = other105.__isset;
 }
-drain_notice::drain_notice(drain_notice&& other100) noexcept {
-  host = std::move(other100.host);
-  __isset = other100.__isset;
+drain_notice::drain_notice(drain_notice&& other106) noexcept {
+  host = std::move(other106.host);
+  __isset = other106.__isset;
 }
-drain_notice& drain_notice::operator=(const drain_notice& other101) {
-  host = other101.host;
-  __isset = other101.__isset;
+drain_notice& drain_notice::operator=(const drain_notice& other107) {
+  host = other107.host;
+  __isset = other107.__isset;
   return *this;
 }
-drain_notice& drain_notice::operator=(drain_notice&& other102) noexcept {
-  host = std::move(other102.host);
-  __isset = other102.__isset;
+drain_notice& drain_notice::operator=(drain_notice&& other108) noexcept {
+  host = std::move(other108.host);
+  __isset = other108.__isset;
   return *this;
 }
 void drain_notice::printTo(std::ostream& out) const {
@@ -3604,9 +3690,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast103;
-          xfer += iprot->readI32(ecast103);
-          this->value = static_cast<config_value>(ecast103);
+          int32_t ecast109;
+          xfer += iprot->readI32(ecast109);
+          this->value = static_cast<config_value>(ecast109);
           this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3657,26 +3743,26 @@
   swap(a.__isset, b.__isset);
 }
 
-config_pull::config_pull(const config_pull& other104) noexcept {
-  value = other104.value;
-  have = other104.have;
-  __isset = other104.__isset;
+config_pull::config_pull(const config_pull& other110) noexcept {
+  value = other110.value;
+  have = other110.have;
+  __isset = other110.__isset;
 }
-config_pull::config_pull(config_pull&& other105) noexcept {
-  value = other105.value;
-  have = other105.have;
-  __isset = other105.__isset;
+config_pull::config_pull(config_pull&& other111) noexcept {
+  value = other111.value;
+  have = other111.have;
+  __isset = other111.__isset;
 }
-config_pull& config_pull::operator=(const config_pull& other106) noexcept {
-  value = other106.value;
-  have = other106.have;
-  __isset = other106.__isset;
+config_pull& config_pull::operator=(const config_pull& other112) noexcept {
+  value = other112.value;
+  have = other112.have;
+  __isset = other112.__isset;
   return *this;
 }
-config_pull& config_pull::operator=(config_pull&& other107) noexcept {
-  value = other107.value;
-  have = other107.have;
-  __isset = other107.__isset;
+config_pull& config_pull::operator=(config_pull&& other113) noexcept {
+  value = other113.value;
+  have = other113.have;
+  __isset = other113.__isset;
   return *this;
 }
 void config_pull::printTo(std::ostream& out) const {
@@ -3745,9 +3831,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast108;
-          xfer += iprot->readI32(ecast108);
-          this->value = static_cast<config_value>(ecast108);
+          int32_t ecast114;
+          xfer += iprot->readI32(ecast114);
+          this->value = static_cast<config_value>(ecast114);
           this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3773,14 +3859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->removed.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->removed.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += iprot->readString(this->removed[_i113]);
+              xfer += iprot->readString(this->removed[_i119]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3793,14 +3879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->added.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->added.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->added.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += iprot->readString(this->added[_i118]);
+              xfer += iprot->readString(this->added[_i124]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3849,10 +3935,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter119;
-    for (_iter119 = this->removed.begin(); _iter119 != this->removed.end(); ++_iter119)
+    std::vector<std::string> ::const_iterator _iter125;
+    for (_iter125 = this->removed.begin(); _iter125 != this->removed.end(); ++_iter125)
     {
-      xfer += oprot->writeString((*_iter119));
+      xfer += oprot->writeString((*_iter125));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3861,10 +3947,10 @@
   xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->added.size()));
-    std::vector<std::string> ::const_iterator _iter120;
-    for (_iter120 = this->added.begin(); _iter120 != this->added.end(); ++_iter120)
+    std::vector<std::string> ::const_iterator _iter126;
+    for (_iter126 = this->added.begin(); _iter126 != this->added.end(); ++_iter126)
     {
-      xfer += oprot->writeString((*_iter120));
+      xfer += oprot->writeString((*_iter126));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3890,42 +3976,42 @@
   swap(a.__isset, b.__isset);
 }
 
-config_update::config_update(const config_update& other121) {
-  value = other121.value;
-  base = other121.base;
-  version = other121.version;
-  removed = other121.removed;
-  added = other121.added;
-  digest = other121.digest;
-  __isset = other121.__isset;
-}
-config_update::config_update(config_update&& other122) noexcept {
-  value = other122.value;
-  base = other122.base;
-  version = other122.version;
-  removed = std::move(other122.removed);
-  added = std::move(other122.added);
-  digest = other122.digest;
-  __isset = other122.__isset;
-}
-config_update& config_update::operator=(const config_update& other123) {
-  value = other123.value;
-  base = other123.base;
-  version = other123.version;
-  removed = other123.removed;
-  added = other123.added;
-  digest = other123.digest;
-  __isset = other123.__isset;
+config_update::config_update(const config_update& other127) {
+  value = other127.value;
+  base = other127.base;
+  version = other127.version;
+  removed = other127.removed;
+  added = other127.added;
+  digest = other127.digest;
+  __isset = other127.__isset;
+}
+config_update::config_update(config_update&& other128) noexcept {
+  value = other128.value;
+  base = other128.base;
+  version = other128.version;
+  removed = std::move(other128.removed);
+  added = std::move(other128.added);
+  digest = other128.digest;
+  __isset = other128.__isset;
+}
+config_update& config_update::operator=(const config_update& other129) {
+  value = other129.value;
+  base = other129.base;
+  version = other129.version;
+  removed = other129.removed;
+  added = other129.added;
+  digest = other129.digest;
+  __isset = other129.__isset;
   return *this;
 }
-config_update& config_update::operator=(config_update&& other124) noexcept {
-  value = other124.value;
-  base = other124.base;
-  version = other124.version;
-  removed = std::move(other124.removed);
-  added = std::move(other124.added);
-  digest = other124.digest;
-  __isset = other124.__isset;
+config_update& config_update::operator=(config_update&& other130) noexcept {
+  value = other130.value;
+  base = other130.base;
+  version = other130.version;
+  removed = std::move(other130.removed);
+  added = std::move(other130.added);
+  digest = other130.digest;
+  __isset = other130.__isset;
   return *this;
 }
 void config_update::printTo(std::ostream& out) const {
@@ -4033,26 +4119,26 @@
   swap(a.__isset, b.__isset);
 }
 
-view_question::view_question(const view_question& other125) noexcept {
-  nonce = other125.nonce;
-  versions = other125.versions;
-  __isset = other125.__isset;
+view_question::view_question(const view_question& other131) noexcept {
+  nonce = other131.nonce;
+  versions = other131.versions;
+  __isset = other131.__isset;
 }
-view_question::view_question(view_question&& other126) noexcept {
-  nonce = other126.nonce;
-  versions = std::move(other126.versions);
-  __isset = other126.__isset;
+view_question::view_question(view_question&& other132) noexcept {
+  nonce = other132.nonce;
+  versions = std::move(other132.versions);
+  __isset = other132.__isset;
 }
-view_question& view_question::operator=(const view_question& other127) noexcept {
-  nonce = other127.nonce;
-  versions = other127.versions;
-  __isset = other127.__isset;
+view_question& view_question::operator=(const view_question& other133) noexcept {
+  nonce = other133.nonce;
+  versions = other133.versions;
+  __isset = other133.__isset;
   return *this;
 }
-view_question& view_question::operator=(view_question&& other128) noexcept {
-  nonce = other128.nonce;
-  versions = std::move(other128.versions);
-  __isset = other128.__isset;
+view_question& view_question::operator=(view_question&& other134) noexcept {
+  nonce = other134.nonce;
+  versions = std::move(other134.versions);
+  __isset = other134.__isset;
   return *this;
 }
 void view_question::printTo(std::ostream& out) const {
@@ -4156,26 +4242,26 @@
   swap(a.__isset, b.__isset);
 }
 
-view_answer::view_answer(const view_answer& other129) noexcept {
-  nonce = other129.nonce;
-  versions = other129.versions;
-  __isset = other129.__isset;
+view_answer::view_answer(const view_answer& other135) noexcept {
+  nonce = other135.nonce;
+  versions = other135.versions;
+  __isset = other135.__isset;
 }
-view_answer::view_answer(view_answer&& other130) noexcept {
-  nonce = other130.nonce;
-  versions = std::move(other130.versions);
-  __isset = other130.__isset;
+view_answer::view_answer(view_answer&& other136) noexcept {
+  nonce = other136.nonce;
+  versions = std::move(other136.versions);
+  __isset = other136.__isset;
 }
-view_answer& view_answer::operator=(const view_answer& other131) noexcept {
-  nonce = other131.nonce;
-  versions = other131.versions;
-  __isset = other131.__isset;
+view_answer& view_answer::operator=(const view_answer& other137) noexcept {
+  nonce = other137.nonce;
+  versions = other137.versions;
+  __isset = other137.__isset;
   return *this;
 }
-view_answer& view_answer::operator=(view_answer&& other132) noexcept {
-  nonce = other132.nonce;
-  versions = std::move(other132.versions);
-  __isset = other132.__isset;
+view_answer& view_answer::operator=(view_answer&& other138) noexcept {
+  nonce = other138.nonce;
+  versions = std::move(other138.versions);
+  __isset = other138.__isset;
   return *this;
 }
 void view_answer::printTo(std::ostream& out) const {
@@ -4296,30 +4382,30 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_request::lease_request(const lease_request& other133) {
-  request = other133.request;
-  organisation = other133.organisation;
-  tokens = other133.tokens;
-  __isset = other133.__isset;
+lease_request::lease_request(const lease_request& other139) {
+  request = other139.request;
+  organisation = other139.organisation;
+  tokens = other139.tokens;
+  __isset = other139.__isset;
 }
-lease_request::lease_request(lease_request&& other134) noexcept {
-  request = other134.request;
-  organisation = std::move(other134.organisation);
-  tokens = other134.tokens;
-  __isset = other134.__isset;
+lease_request::lease_request(lease_request&& other140) noexcept {
+  request = other140.request;
+  organisation = std::move(other140.organisation);
+  tokens = other140.tokens;
+  __isset = other140.__isset;
 }
-lease_request& lease_request::operator=(const lease_request& other135) {
-  request = other135.request;
-  organisation = other135.organisation;
-  tokens = other135.tokens;
-  __isset = other135.__isset;
+lease_request& lease_request::operator=(const lease_request& other141) {
+  request = other141.request;
+  organisation = other141.organisation;
+  tokens = other141.tokens;
+  __isset = other141.__isset;
   return *this;
 }
-lease_request& lease_request::operator=(lease_request&& other136) noexcept {
-  request = other136.request;
-  organisation = std::move(other136.organisation);
-  tokens = other136.tokens;
-  __isset = other136.__isset;
+lease_request& lease_request::operator=(lease_request&& other142) noexcept {
+  request = other142.request;
+  organisation = std::move(other142.organisation);
+  tokens = other142.tokens;
+  __isset = other142.__isset;
   return *this;
 }
 void lease_request::printTo(std::ostream& out) const {
@@ -4475,38 +4561,38 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_grant::lease_grant(const lease_grant& other137) {
-  request = other137.request;
-  organisation = other137.organisation;
-  tokens = other137.tokens;
-  retry_after_ms = other137.retry_after_ms;
-  granting = other137.granting;
-  __isset = other137.__isset;
+lease_grant::lease_grant(const lease_grant& other143) {
+  request = other143.request;
+  organisation = other143.organisation;
+  tokens = other143.tokens;
+  retry_after_ms = other143.retry_after_ms;
+  granting = other143.granting;
+  __isset = other143.__isset;
 }
-lease_grant::lease_grant(lease_grant&& other138) noexcept {
-  request = other138.request;
-  organisation = std::move(other138.organisation);
-  tokens = other138.tokens;
-  retry_after_ms = other138.retry_after_ms;
-  granting = other138.granting;
-  __isset = other138.__isset;
+lease_grant::lease_grant(lease_grant&& other144) noexcept {
+  request = other144.request;
+  organisation = std::move(other144.organisation);
+  tokens = other144.tokens;
+  retry_after_ms = other144.retry_after_ms;
+  granting = other144.granting;
+  __isset = other144.__isset;
 }
-lease_grant& lease_grant::operator=(const lease_grant& other139) {
-  request = other139.request;
-  organisation = other139.organisation;
-  tokens = other139.tokens;
-  retry_after_ms = other139.retry_after_ms;
-  granting = other139.granting;
-  __isset = other139.__isset;
+lease_grant& lease_grant::operator=(const lease_grant& other145) {
+  request = other145.request;
+  organisation = other145.organisation;
+  tokens = other145.tokens;
+  retry_after_ms = other145.retry_after_ms;
+  granting = other145.granting;
+  __isset = other145.__isset;
   return *this;
 }
-lease_grant& lease_grant::operator=(lease_grant&& other140) noexcept {
-  request = other140.request;
-  organisation = std::move(other140.organisation);
-  tokens = other140.tokens;
-  retry_after_ms = other140.retry_after_ms;
-  granting = other140.granting;
-  __isset = other140.__isset;
+lease_grant& lease_grant::operator=(lease_grant&& other146) noexcept {
+  request = other146.request;
+  organisation = std::move(other146.organisation);
+  tokens = other146.tokens;
+  retry_after_ms = other146.retry_after_ms;
+  granting = other146.granting;
+  __isset = other146.__isset;
   return *this;
 }
 void lease_grant::printTo(std::ostream& out) const {
@@ -4978,102 +5064,102 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other141) {
-  hello_ = other141.hello_;
-  welcome_ = other141.welcome_;
-  begin_ = other141.begin_;
-  body_ = other141.body_;
-  credit_ = other141.credit_;
-  cancel_ = other141.cancel_;
-  head_ = other141.head_;
-  refused_ = other141.refused_;
-  failed_ = other141.failed_;
-  resolve_ = other141.resolve_;
-  resolution_ = other141.resolution_;
-  ping_ = other141.ping_;
-  pong_ = other141.pong_;
-  drain_ = other141.drain_;
-  pull_ = other141.pull_;
-  update_ = other141.update_;
-  lease_request_ = other141.lease_request_;
-  lease_grant_ = other141.lease_grant_;
-  report_ = other141.report_;
-  view_question_ = other141.view_question_;
-  view_answer_ = other141.view_answer_;
-  __isset = other141.__isset;
-}
-frame::frame(frame&& other142) noexcept {
-  hello_ = std::move(other142.hello_);
-  welcome_ = std::move(other142.welcome_);
-  begin_ = std::move(other142.begin_);
-  body_ = std::move(other142.body_);
-  credit_ = std::move(other142.credit_);
-  cancel_ = std::move(other142.cancel_);
-  head_ = std::move(other142.head_);
-  refused_ = std::move(other142.refused_);
-  failed_ = std::move(other142.failed_);
-  resolve_ = std::move(other142.resolve_);
-  resolution_ = std::move(other142.resolution_);
-  ping_ = std::move(other142.ping_);
-  pong_ = std::move(other142.pong_);
-  drain_ = std::move(other142.drain_);
-  pull_ = std::move(other142.pull_);
-  update_ = std::move(other142.update_);
-  lease_request_ = std::move(other142.lease_request_);
-  lease_grant_ = std::move(other142.lease_grant_);
-  report_ = std::move(other142.report_);
-  view_question_ = std::move(other142.view_question_);
-  view_answer_ = std::move(other142.view_answer_);
-  __isset = other142.__isset;
-}
-frame& frame::operator=(const frame& other143) {
-  hello_ = other143.hello_;
-  welcome_ = other143.welcome_;
-  begin_ = other143.begin_;
-  body_ = other143.body_;
-  credit_ = other143.credit_;
-  cancel_ = other143.cancel_;
-  head_ = other143.head_;
-  refused_ = other143.refused_;
-  failed_ = other143.failed_;
-  resolve_ = other143.resolve_;
-  resolution_ = other143.resolution_;
-  ping_ = other143.ping_;
-  pong_ = other143.pong_;
-  drain_ = other143.drain_;
-  pull_ = other143.pull_;
-  update_ = other143.update_;
-  lease_request_ = other143.lease_request_;
-  lease_grant_ = other143.lease_grant_;
-  report_ = other143.report_;
-  view_question_ = other143.view_question_;
-  view_answer_ = other143.view_answer_;
-  __isset = other143.__isset;
+frame::frame(const frame& other147) {
+  hello_ = other147.hello_;
+  welcome_ = other147.welcome_;
+  begin_ = other147.begin_;
+  body_ = other147.body_;
+  credit_ = other147.credit_;
+  cancel_ = other147.cancel_;
+  head_ = other147.head_;
+  refused_ = other147.refused_;
+  failed_ = other147.failed_;
+  resolve_ = other147.resolve_;
+  resolution_ = other147.resolution_;
+  ping_ = other147.ping_;
+  pong_ = other147.pong_;
+  drain_ = other147.drain_;
+  pull_ = other147.pull_;
+  update_ = other147.update_;
+  lease_request_ = other147.lease_request_;
+  lease_grant_ = other147.lease_grant_;
+  report_ = other147.report_;
+  view_question_ = other147.view_question_;
+  view_answer_ = other147.view_answer_;
+  __isset = other147.__isset;
+}
+frame::frame(frame&& other148) noexcept {
+  hello_ = std::move(other148.hello_);
+  welcome_ = std::move(other148.welcome_);
+  begin_ = std::move(other148.begin_);
+  body_ = std::move(other148.body_);
+  credit_ = std::move(other148.credit_);
+  cancel_ = std::move(other148.cancel_);
+  head_ = std::move(other148.head_);
+  refused_ = std::move(other148.refused_);
+  failed_ = std::move(other148.failed_);
+  resolve_ = std::move(other148.resolve_);
+  resolution_ = std::move(other148.resolution_);
+  ping_ = std::move(other148.ping_);
+  pong_ = std::move(other148.pong_);
+  drain_ = std::move(other148.drain_);
+  pull_ = std::move(other148.pull_);
+  update_ = std::move(other148.update_);
+  lease_request_ = std::move(other148.lease_request_);
+  lease_grant_ = std::move(other148.lease_grant_);
+  report_ = std::move(other148.report_);
+  view_question_ = std::move(other148.view_question_);
+  view_answer_ = std::move(other148.view_answer_);
+  __isset = other148.__isset;
+}
+frame& frame::operator=(const frame& other149) {
+  hello_ = other149.hello_;
+  welcome_ = other149.welcome_;
+  begin_ = other149.begin_;
+  body_ = other149.body_;
+  credit_ = other149.credit_;
+  cancel_ = other149.cancel_;
+  head_ = other149.head_;
+  refused_ = other149.refused_;
+  failed_ = other149.failed_;
+  resolve_ = other149.resolve_;
+  resolution_ = other149.resolution_;
+  ping_ = other149.ping_;
+  pong_ = other149.pong_;
+  drain_ = other149.drain_;
+  pull_ = other149.pull_;
+  update_ = other149.update_;
+  lease_request_ = other149.lease_request_;
+  lease_grant_ = other149.lease_grant_;
+  report_ = other149.report_;
+  view_question_ = other149.view_question_;
+  view_answer_ = other149.view_answer_;
+  __isset = other149.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other144) noexcept {
-  hello_ = std::move(other144.hello_);
-  welcome_ = std::move(other144.welcome_);
-  begin_ = std::move(other144.begin_);
-  body_ = std::move(other144.body_);
-  credit_ = std::move(other144.credit_);
-  cancel_ = std::move(other144.cancel_);
-  head_ = std::move(other144.head_);
-  refused_ = std::move(other144.refused_);
-  failed_ = std::move(other144.failed_);
-  resolve_ = std::move(other144.resolve_);
-  resolution_ = std::move(other144.resolution_);
-  ping_ = std::move(other144.ping_);
-  pong_ = std::move(other144.pong_);
-  drain_ = std::move(other144.drain_);
-  pull_ = std::move(other144.pull_);
-  update_ = std::move(other144.update_);
-  lease_request_ = std::move(other144.lease_request_);
-  lease_grant_ = std::move(other144.lease_grant_);
-  report_ = std::move(other144.report_);
-  view_question_ = std::move(other144.view_question_);
-  view_answer_ = std::move(other144.view_answer_);
-  __isset = other144.__isset;
+frame& frame::operator=(frame&& other150) noexcept {
+  hello_ = std::move(other150.hello_);
+  welcome_ = std::move(other150.welcome_);
+  begin_ = std::move(other150.begin_);
+  body_ = std::move(other150.body_);
+  credit_ = std::move(other150.credit_);
+  cancel_ = std::move(other150.cancel_);
+  head_ = std::move(other150.head_);
+  refused_ = std::move(other150.refused_);
+  failed_ = std::move(other150.failed_);
+  resolve_ = std::move(other150.resolve_);
+  resolution_ = std::move(other150.resolution_);
+  ping_ = std::move(other150.ping_);
+  pong_ = std::move(other150.pong_);
+  drain_ = std::move(other150.drain_);
+  pull_ = std::move(other150.pull_);
+  update_ = std::move(other150.update_);
+  lease_request_ = std::move(other150.lease_request_);
+  lease_grant_ = std::move(other150.lease_grant_);
+  report_ = std::move(other150.report_);
+  view_question_ = std::move(other150.view_question_);
+  view_answer_ = std::move(other150.view_answer_);
+  __isset = other150.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
