--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -120,8 +120,6 @@
     }
     const config::header_policy& headers = owner_.parts_.headers_;
     nested_ = context_.route_->open_ && !headers.caller_service_.empty();
-    const double repeated = nested_ ? owner_.parts_.repeated_part_() : 0;
-    repeated_parent_ = draw(owner_.random_) < repeated;
     if (nested_ ? owner_.refuses_calls_ : owner_.refuses_new_) {
         refuse(
             {status_unavailable, filter::outcome::not_run, filter::reason::stopping, short_retry});
@@ -135,8 +133,8 @@
     }
     deadline_ = began_ + patience;
     deadline_timer_.start(patience, [this] { on_deadline(); });
-    policy::note_request(owner_.retries_[context_.service_->name_],
-                         owner_.retry_limits(context_.service_->name_), repeated, began_);
+    policy::note_request(owner_.retries_[context_.service_->name_], owner_.retry_limits(),
+                         nested_ ? owner_.parts_.repeated_part_() : 0, began_);
     body_ended_ = !has_body();
     if (body_at_hand()) {
         admit();
@@ -249,7 +247,7 @@
     begin.allow_ejected = chosen.allow_ejected_;
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
-    begin.repeat = attempts_ > 0 || repeated_parent_;
+    begin.repeat = attempts_ > 0;
     const base::duration objective = context_.route_->objective_;
     if (objective > base::duration::zero()) {
         const auto left = base::whole_ms(began_ + objective - owner_.parts_.loop_.clock().now());
@@ -381,7 +379,7 @@
 
 void call::on_refused(const wire::attempt_refused& refusal) {
     if (refusal.__isset.report) {
-        owner_.note_report_of(context_.service_->name_, refusal.report);
+        owner_.note_report(refusal.report);
     }
     if (refusal.reason == wire::refusal_reason::draining) {
         owner_.set_draining(attempt_->link_->peer(), true);
@@ -423,7 +421,7 @@
 
 void call::on_failed(const wire::attempt_failed& failure) {
     if (failure.__isset.report) {
-        owner_.note_report_of(context_.service_->name_, failure.report);
+        owner_.note_report(failure.report);
     }
     const bool lost = failure.reason == wire::failure_reason::answer_lost;
     attempt_ended(policy::attempt_outcome::unknown,
@@ -479,9 +477,8 @@
     question.other_target_ = other.has_value();
     question.run_ = other && !free ? other->run_ : base::duration::zero();
     const base::instant now = owner_.parts_.loop_.clock().now();
-    const policy::retry_decision decision =
-        policy::decide_retry(owner_.retries_[context_.service_->name_],
-                             owner_.retry_limits(context_.service_->name_), question, now);
+    const policy::retry_decision decision = policy::decide_retry(
+        owner_.retries_[context_.service_->name_], owner_.retry_limits(), question, now);
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_.erase(attempt_->target_);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -116,8 +116,6 @@
     // The search for a free slot is over: the request waits where the wait is shortest.
     bool may_wait_ = false;
     bool nested_ = false;
-    // Most likely a repeated run of the host's own target makes this request.
-    bool repeated_parent_ = false;
     bool admitted_ = false;
     // Attempts that reached a target.
     int attempts_ = 0;
--- a/src/node/call_answer.cpp
+++ b/src/node/call_answer.cpp
@@ -30,7 +30,7 @@
 
 void call::on_answer_head(const wire::answer_head& head) {
     if (head.__isset.report) {
-        owner_.note_report_of(context_.service_->name_, head.report);
+        owner_.note_report(head.report);
     }
     if (head_sent_ && resuming_) {
         if (!continues_answer(head)) {
--- a/src/node/entry.cpp
+++ b/src/node/entry.cpp
@@ -20,8 +20,6 @@
 // Part of the fleet's retry budget that the entries use: each counts for itself, and the load is
 // not the same everywhere.
 constexpr double budget_part = 0.75;
-// Part of the budget's ratio that the fleet as a whole aims at: reports of it come late.
-constexpr double fleet_part = 0.9;
 
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
     for (const config::zone_rule& rule : rules.zones_) {
@@ -118,34 +116,21 @@
     views_.note(report, parts_.loop_.clock().now());
 }
 
-void entry::note_report_of(const std::string& service, const wire::target_report& report) {
-    note_report(report);
-    policy::note_counts(repeats_[service], report.target,
-                        {report.recent_runs, report.recent_repeats, parts_.loop_.clock().now()});
-}
-
 void entry::forget_old_targets() {
     views_.forget_old(parts_.loop_.clock().now());
 }
 
 // The budget is the fleet's: each entry uses the part of the slack that falls to it.
-policy::retry_limits entry::retry_limits(const std::string& service) const {
+policy::retry_limits entry::retry_limits() const {
     const config::settings& settings = parts_.settings_;
     const double hosts =
         std::max<double>(1, static_cast<double>(parts_.configuration_.hosts()->hosts_.size()));
-    policy::retry_limits limits{settings.retry_ratio_ * budget_part,
-                                settings.retry_slack_ * budget_part / hosts,
-                                settings.retry_window_};
-    const auto reports = repeats_.find(service);
-    if (reports != repeats_.end()) {
-        limits.multiple_ = policy::budget_multiple(
-            reports->second, settings.retry_ratio_ * fleet_part, parts_.loop_.clock().now());
-    }
-    return limits;
+    return {settings.retry_ratio_ * budget_part, settings.retry_slack_ * budget_part / hosts,
+            settings.retry_window_};
 }
 
 bool entry::may_retry(const std::string& service, bool nested) {
-    return policy::has_room(retries_[service], retry_limits(service), policy::usable_part(nested),
+    return policy::has_room(retries_[service], retry_limits(), policy::usable_part(nested),
                             parts_.loop_.clock().now());
 }
 
--- a/src/node/entry.h
+++ b/src/node/entry.h
@@ -21,7 +21,6 @@
 #include "observe/event.h"
 #include "observe/metrics.h"
 #include "policy/balance.h"
-#include "policy/repeat_share.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -74,9 +73,6 @@
 
     void note_report(const wire::target_report& report);
 
-    // The same, from the guard of a target of that service.
-    void note_report_of(const std::string& service, const wire::target_report& report);
-
     // Drops what is known of targets that told nothing for long.
     void forget_old_targets();
 
@@ -106,8 +102,7 @@
     std::optional<chosen_target> choose(const std::string& service, const policy::choice_wish& wish,
                                         const std::set<std::string>& tried);
 
-    // Bounds on the retries of this entry at a service.
-    policy::retry_limits retry_limits(const std::string& service) const;
+    policy::retry_limits retry_limits() const;
 
     // True if the budget has room for a retry at a service.
     bool may_retry(const std::string& service, bool nested);
@@ -121,7 +116,6 @@
     target_views views_;
     // By service.
     std::unordered_map<std::string, policy::retry_budget> retries_;
-    std::unordered_map<std::string, policy::repeat_reports> repeats_;
     std::set<call*> calls_;
     // Hosts that said they are draining, and until when that is believed.
     std::unordered_map<std::string, base::instant> draining_;
--- a/src/node/guard.h
+++ b/src/node/guard.h
@@ -26,7 +26,6 @@
 #include "observe/event.h"
 #include "policy/guard_ledger.h"
 #include "policy/idle_target.h"
-#include "policy/repeat_share.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
 #include "policy/target_health.h"
@@ -105,7 +104,6 @@
         int in_flight_ = 0;
         int slots_ = 1;
         policy::idle_target idle_;
-        policy::run_counts counts_;
     };
 
     // Names a link across all entries.
--- a/src/node/guard_runs.cpp
+++ b/src/node/guard_runs.cpp
@@ -221,7 +221,6 @@
     target_state& state = targets_[target];
     ++state.in_flight_;
     state.idle_.used_at_ = loop_.clock().now();
-    policy::note_run_began(state.counts_, attempt.begin().repeat, state.idle_.used_at_);
     policy::begin_trial(state.health_);
     attempt.run(*state.pool_);
 }
@@ -345,9 +344,6 @@
     for (const base::duration run : policy::present_runs(target.runs_, present)) {
         report.run_ms_by_kind.push_back(static_cast<std::int32_t>(base::whole_ms(run)));
     }
-    const policy::run_counts counts = policy::faded_counts(target.counts_, now);
-    report.recent_runs = counts.runs_;
-    report.recent_repeats = counts.repeats_;
     report.ejected = target.health_.state_ == policy::health_state::ejected;
     report.suspicion = static_cast<std::int32_t>(
         percent *
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -60,7 +60,7 @@
         requests += age < limits.window_ ? one.requests_ : 0;
         retries += age < limits.window_ + length ? one.retries_ : 0;
     }
-    return retries + 1 <= part * limits.multiple_ * (limits.ratio_ * requests + limits.slack_);
+    return retries + 1 <= part * (limits.ratio_ * requests + limits.slack_);
 }
 
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -39,8 +39,6 @@
     // Besides, this many within the window.
     double slack_ = 10;
     base::duration window_ = base::seconds(10);
-    // Times that much of ratio and slack: more than one while others use less than their part.
-    double multiple_ = 1;
 };
 
 // Requests and retries of one entry for one service, over the window.
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -38,9 +38,6 @@
     9: bool idle
     // Time that a run takes, by kind in the order of policy::run_kind; zero where unknown.
     10: list<i32> run_ms_by_kind
-    // Runs that began within the last seconds, and those of them that repeat an earlier one.
-    11: double recent_runs
-    12: double recent_repeats
 }
 
 // First frame on a link, from the side that opened it.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -592,14 +592,6 @@
 void target_report::__set_run_ms_by_kind(const std::vector<int32_t> & val) {
   this->run_ms_by_kind = val;
 }
-
-void target_report::__set_recent_runs(const double val) {
-  this->recent_runs = val;
-}
-
-void target_report::__set_recent_repeats(const double val) {
-  this->recent_repeats = val;
-}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -720,22 +712,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->recent_runs);
-          this->__isset.recent_runs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
-          xfer += iprot->readDouble(this->recent_repeats);
-          this->__isset.recent_repeats = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -801,14 +777,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("recent_runs", ::apache::thrift::protocol::T_DOUBLE, 11);
-  xfer += oprot->writeDouble(this->recent_runs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("recent_repeats", ::apache::thrift::protocol::T_DOUBLE, 12);
-  xfer += oprot->writeDouble(this->recent_repeats);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -826,8 +794,6 @@
   swap(a.suspicion, b.suspicion);
   swap(a.idle, b.idle);
   swap(a.run_ms_by_kind, b.run_ms_by_kind);
-  swap(a.recent_runs, b.recent_runs);
-  swap(a.recent_repeats, b.recent_repeats);
   swap(a.__isset, b.__isset);
 }
 
@@ -842,8 +808,6 @@
   suspicion = other18.suspicion;
   idle = other18.idle;
   run_ms_by_kind = other18.run_ms_by_kind;
-  recent_runs = other18.recent_runs;
-  recent_repeats = other18.recent_repeats;
   __isset = other18.__isset;
 }
 target_report::target_report(target_report&& other19) noexcept {
@@ -857,8 +821,6 @@
   suspicion = other19.suspicion;
   idle = other19.idle;
   run_ms_by_kind = std::move(other19.run_ms_by_kind);
-  recent_runs = other19.recent_runs;
-  recent_repeats = other19.recent_repeats;
   __isset = other19.__isset;
 }
 target_report& target_report::operator=(const target_report& other20) {
@@ -872,8 +834,6 @@
   suspicion = other20.suspicion;
   idle = other20.idle;
   run_ms_by_kind = other20.run_ms_by_kind;
-  recent_runs = other20.recent_runs;
-  recent_repeats = other20.recent_repeats;
   __isset = other20.__isset;
   return *this;
 }
@@ -888,8 +848,6 @@
   suspicion = other21.suspicion;
   idle = other21.idle;
   run_ms_by_kind = std::move(other21.run_ms_by_kind);
-  recent_runs = other21.recent_runs;
-  recent_repeats = other21.recent_repeats;
   __isset = other21.__isset;
   return *this;
 }
@@ -906,8 +864,6 @@
   out << ", " << "suspicion=" << to_string(suspicion);
   out << ", " << "idle=" << to_string(idle);
   out << ", " << "run_ms_by_kind=" << to_string(run_ms_by_kind);
-  out << ", " << "recent_runs=" << to_string(recent_runs);
-  out << ", " << "recent_repeats=" << to_string(recent_repeats);
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _target_report__isset {
-  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false), recent_runs(false), recent_repeats(false) {}
+  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false) {}
   bool target :1;
   bool running :1;
   bool waiting :1;
@@ -306,8 +306,6 @@
   bool suspicion :1;
   bool idle :1;
   bool run_ms_by_kind :1;
-  bool recent_runs :1;
-  bool recent_repeats :1;
 } _target_report__isset;
 
 class target_report : public virtual ::apache::thrift::TBase {
@@ -326,9 +324,7 @@
                   ejected(0),
                   on_trial(0),
                   suspicion(0),
-                  idle(0),
-                  recent_runs(0),
-                  recent_repeats(0) {
+                  idle(0) {
   }
 
   virtual ~target_report() noexcept;
@@ -342,8 +338,6 @@
   int32_t suspicion;
   bool idle;
   std::vector<int32_t>  run_ms_by_kind;
-  double recent_runs;
-  double recent_repeats;
 
   _target_report__isset __isset;
 
@@ -367,10 +361,6 @@
 
   void __set_run_ms_by_kind(const std::vector<int32_t> & val);
 
-  void __set_recent_runs(const double val);
-
-  void __set_recent_repeats(const double val);
-
   bool operator == (const target_report & rhs) const
   {
     if (!(target == rhs.target))
@@ -393,10 +383,6 @@
       return false;
     if (!(run_ms_by_kind == rhs.run_ms_by_kind))
       return false;
-    if (!(recent_runs == rhs.recent_runs))
-      return false;
-    if (!(recent_repeats == rhs.recent_repeats))
-      return false;
     return true;
   }
   bool operator != (const target_report &rhs) const {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -6,7 +6,6 @@
 
 #include "policy/balance.h"
 #include "policy/idle_target.h"
-#include "policy/repeat_share.h"
 #include "policy/retry.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
@@ -152,55 +151,6 @@
     CHECK(decide_retry(budget, limits, question, now) == retry_decision::retry);
 }
 
-// Pattern: shared retry budget. Forty entries with equal parts, of which four carry all failures.
-TEST_CASE("an entry may use the parts of the budget that others leave", "[policy]") {
-    base::runtime_clock clock;
-    clock.pause();
-    constexpr double ratio = 0.15;
-    constexpr int runs_a_second = 100;
-    run_counts target;
-    repeat_reports reports;
-    const auto run_for_a_second = [&](int repeats) {
-        for (int i = 0; i < runs_a_second; ++i) {
-            clock.advance(base::milliseconds(10));
-            note_run_began(target, i < repeats, clock.now());
-        }
-        note_counts(reports, "t1", faded_counts(target, clock.now()));
-    };
-    // While nothing is known, an entry keeps to its own part.
-    CHECK(budget_multiple(reports, ratio, clock.now()) == 1);
-    run_for_a_second(0);
-    CHECK(budget_multiple(reports, ratio, clock.now()) == Approx(4));
-    // The whole fleet repeats as much as the budget's ratio allows.
-    for (int second = 0; second < 10; ++second) {
-        run_for_a_second(15);
-    }
-    CHECK(budget_multiple(reports, ratio, clock.now()) == 1);
-    for (int second = 0; second < 10; ++second) {
-        run_for_a_second(4);
-    }
-    const double multiple = budget_multiple(reports, ratio, clock.now());
-    CHECK(multiple > 2);
-    CHECK(multiple < 4);
-    // An old report says nothing of the present.
-    clock.advance(base::seconds(3));
-    CHECK(budget_multiple(reports, ratio, clock.now()) == 1);
-}
-
-TEST_CASE("a multiple of an entry's part of the budget is what it may use", "[policy]") {
-    base::runtime_clock clock;
-    clock.pause();
-    retry_budget budget;
-    retry_limits limits{0.1, 0, base::seconds(10)};
-    for (int i = 0; i < 100; ++i) {
-        note_request(budget, limits, 0, clock.now());
-    }
-    note_request(budget, limits, 9.5, clock.now());
-    CHECK_FALSE(has_room(budget, limits, 1, clock.now()));
-    limits.multiple_ = 2;
-    CHECK(has_room(budget, limits, 1, clock.now()));
-}
-
 // Pattern: nested calls are short beside the requests that make them, on the same targets.
 TEST_CASE("the time of a run is told by the kind of its request", "[policy]") {
     run_estimates runs;
