Hold signals from the first step of a process on

Cause: signals were blocked only once the node had been made, some 50 ms after the start; a SIGHUP in that time ended the process, a SIGTERM ended it without its log lines.

Test: "a signal that comes while a process starts" hands the settings over through a pipe, so that the signal surely comes while they are read; it failed before (the process was gone) and passes now.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -16,17 +16,27 @@
 
 namespace {
 
+sigset_t awaited_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) {
+        sigaddset(&signals, signal);
+    }
+    return signals;
+}
+
+// From here on they wait until they are asked for; threads that start later inherit it.
+void hold_signals() {
+    const sigset_t signals = awaited_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 // Waits for signals on a thread of its own: SIGTERM and SIGINT begin the planned stop, SIGHUP reads
 // the settings again. SIGUSR1 ends the wait when the process ends for another reason.
 class signal_waiter {
 public:
     signal_waiter(node::node& served, std::string settings_file)
         : served_(served), settings_file_(std::move(settings_file)) {
-        sigaddset(&signals_, SIGHUP);
-        sigaddset(&signals_, SIGTERM);
-        sigaddset(&signals_, SIGINT);
-        sigaddset(&signals_, SIGUSR1);
-        pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
         waiter_ = std::thread([this] { wait(); });
     }
     signal_waiter(const signal_waiter&) = delete;
@@ -55,21 +65,17 @@
         served_.reload(std::move(*settings));
     }
 
-    static sigset_t no_signals() {
-        sigset_t none;
-        sigemptyset(&none);
-        return none;
-    }
-
     node::node& served_;
     std::string settings_file_;
-    sigset_t signals_ = no_signals();
+    sigset_t signals_ = awaited_signals();
     std::thread waiter_;
 };
 
 }  // namespace
 
 int run_serve(const std::vector<std::string>& arguments) {
+    // A signal that comes while the process starts must not end it.
+    hold_signals();
     char* file = nullptr;
     const poptOption table[] = {
         {"config", 'c', POPT_ARG_STRING, &file, 0, "settings of this process", "FILE"},
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -49,6 +49,16 @@
     CHECK(counts.not_run_ == 0);
 }
 
+TEST_CASE("a signal that comes while a process starts does not end it", "[promise-planned-stop]") {
+    fleet fleet(orders_plan({"z1"}, {"h1"}, "slots=5 timeout=5s"));
+    fleet.start_with_signal("h1", SIGHUP);
+    CHECK(wait_for([&] { return fleet.log_of("h1").find("reloaded") != std::string::npos; }));
+    caller caller;
+    CHECK(caller.send(order(fleet, "h1", "a", "GET")).status_ == 200);
+    fleet.host("h1").send_signal(SIGTERM);
+    CHECK(fleet.host("h1").wait() == 0);
+}
+
 TEST_CASE("a long request outlives the beginning of a planned stop", "[promise-planned-stop]") {
     fleet fleet(orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s"));
     fleet.start_all();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/fleet.h"
 
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -133,8 +134,28 @@
     wait_until_serving(host);
 }
 
-void fleet::launch(const std::string& host) {
+// The settings are a pipe until the process has opened it: it waits there for their text.
+void fleet::start_with_signal(const std::string& host, int signal) {
     const std::string settings = write_settings(host, zone_of(host));
+    const std::string aside = settings + ".aside";
+    std::filesystem::rename(settings, aside);
+    if (mkfifo(settings.c_str(), 0600) != 0) {
+        throw std::runtime_error("no pipe could be made at " + settings);
+    }
+    run_program(host, settings);
+    std::ofstream pipe(settings);
+    std::filesystem::rename(aside, settings);
+    this->host(host).send_signal(signal);
+    pipe << std::ifstream(settings).rdbuf();
+    pipe.close();
+    wait_until_serving(host);
+}
+
+void fleet::launch(const std::string& host) {
+    run_program(host, write_settings(host, zone_of(host)));
+}
+
+void fleet::run_program(const std::string& host, const std::string& settings) {
     processes_[host] = std::make_unique<process>(
         std::vector<std::string>{program(), "serve", "--config", settings},
         folder_ + "/" + host + ".log");
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -52,6 +52,9 @@
     // Starts a host's process; waits until it serves.
     void start(const std::string& host);
 
+    // Starts a host's process and sends it a signal while it reads its settings.
+    void start_with_signal(const std::string& host, int signal);
+
     // Ends a host's process without warning.
     void kill(const std::string& host);
     // Starts all hosts and waits until each has a link to all.
@@ -98,6 +101,7 @@
 
 private:
     void launch(const std::string& host);
+    void run_program(const std::string& host, const std::string& settings);
     void wait_until_serving(const std::string& host) const;
     std::string ip(std::size_t number) const;
     std::string ip_of(const std::string& host) const;
