Let a request wait for its organisation's rate as long as its objective allows

The tokens were there a moment later: nothing over the rate is admitted by waiting for them.

Change: a third of the route's objective in place of 0.5 s (policy::quota_patience). What the owner says cannot be had in that time is still refused at once.

Left: the owner grants in the order of questions, not of requests; tokens reserved ahead would let a request know its turn at once.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -9,6 +9,7 @@
 #include "net/http_wire.h"
 #include "node/guard_attempt.h"
 #include "policy/come_back.h"
+#include "policy/quota.h"
 
 namespace dandelionridge::node {
 
@@ -19,7 +20,6 @@
 
 // Time for which a guard whose link was lost is waited for.
 constexpr base::duration longest_doubt = base::seconds(2);
-constexpr base::duration longest_quota_wait = base::milliseconds(500);
 
 // Guards that are asked for a free slot before the request waits for one.
 constexpr std::size_t most_searches = 3;
@@ -150,8 +150,9 @@
         on_admitted();
         return;
     }
-    const base::duration patience = std::min(longest_quota_wait, time_left() / 2);
-    owner_.parts_.quota_.admit(context_.organisation_, patience, *this);
+    owner_.parts_.quota_.admit(context_.organisation_,
+                               policy::quota_patience(context_.route_->objective_, time_left()),
+                               *this);
 }
 
 void call::on_admitted() {
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -15,6 +15,11 @@
 // A host that must not act tells askers to look elsewhere for this long.
 constexpr base::duration not_acting_pause = base::milliseconds(50);
 
+// How long a request may wait for its organisation's rate: that part of its objective, or this long
+// where it has none; never more than half of the time that its caller still waits.
+constexpr int objective_part = 3;
+constexpr base::duration wait_without_objective = base::milliseconds(500);
+
 double seconds_of(base::duration value) {
     return std::chrono::duration<double>(value).count();
 }
@@ -41,6 +46,12 @@
 
 }  // namespace
 
+base::duration quota_patience(base::duration objective, base::duration time_left) {
+    const base::duration longest =
+        objective > base::duration::zero() ? objective / objective_part : wait_without_objective;
+    return std::min(longest, time_left / 2);
+}
+
 std::vector<std::string> rank_owners(std::string_view organisation,
                                      std::span<const std::string> hosts) {
     std::vector<std::string> ranked;
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -50,6 +50,10 @@
     std::size_t hosts_ = 1;
 };
 
+// How long a request waits for a token before it is refused: as long as it can still meet its
+// objective (zero: the route has none).
+base::duration quota_patience(base::duration objective, base::duration time_left);
+
 // The hosts to ask for an organisation's tokens, best first.
 std::vector<std::string> rank_owners(std::string_view organisation,
                                      std::span<const std::string> hosts);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -6,6 +6,7 @@
 
 #include "policy/balance.h"
 #include "policy/idle_target.h"
+#include "policy/quota.h"
 #include "policy/retry.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
@@ -416,6 +417,38 @@
     CHECK(choose_target(targets, wish, random)->index_ == 0U);
 }
 
+// Pattern: traffic shaping. A burst beyond the rate waits while that serves it in time; a refused
+// caller of the platform rarely comes back.
+TEST_CASE("a request waits for its organisation's rate within its objective", "[policy]") {
+    struct patience_case {
+        int objective_ms_;
+        int time_left_ms_;
+        int patience_ms_;
+    };
+    const std::vector<patience_case> cases = {
+        {3000, 10000, 1000},  // a third of the objective leaves two for the run
+        {600, 10000, 200},   {3000, 1000, 500}, {0, 10000, 500}, {0, 300, 150}, {3000, 0, 0},
+    };
+    for (const patience_case& one : cases) {
+        CAPTURE(one.objective_ms_, one.time_left_ms_);
+        CHECK(quota_patience(base::milliseconds(one.objective_ms_),
+                             base::milliseconds(one.time_left_ms_)) ==
+              base::milliseconds(one.patience_ms_));
+    }
+    // Ten at once at ten a second: all are served within the second; half of it serves six.
+    base::runtime_clock clock;
+    clock.pause();
+    token_bucket bucket = make_bucket(10, 1, clock.now());
+    int admitted = 0;
+    const base::instant until = clock.now() + quota_patience(base::seconds(3), base::seconds(10));
+    while (clock.now() <= until) {
+        refill(bucket, 1, clock.now());
+        admitted += admitted < 10 ? static_cast<int>(take(bucket, 1, clock.now())) : 0;
+        clock.advance(base::milliseconds(20));
+    }
+    CHECK(admitted == 10);
+}
+
 TEST_CASE("a bucket admits its burst and then its rate", "[policy]") {
     base::runtime_clock clock;
     clock.pause();
