--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -123,8 +123,8 @@
     bool allow_ejected_ = false;
 };
 
-// The time that a run takes beyond the usual one. A difference that chance explains is none: without
-// this bound all entries send to the few that look fastest.
+// The time that a run takes beyond the usual one. A difference that chance explains is none:
+// without this bound all entries send to the few that look fastest.
 base::duration beyond_usual(base::duration run, base::duration usual) {
     return run > times(usual, tolerated_slowness) ? run - usual : base::duration::zero();
 }
