Log which targets a host list adds, marks as leaving or removes, and from whom

Hypotheses 1 and 2 of docs/incidents/2026-12-04-leaving-target.md could not be told apart: a log line named a version and its source, but not whether a leaving target came back with it. Now each list in force that changes targets is one line (targets_changed: version, source, and the names added, returned, leaving and removed, at most 16 each), and a process says how many entries it keeps after an outage of the store (missing_entries_kept). No decision changes.

--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -1,6 +1,7 @@
 // The source from which a process reads its configuration.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,6 +27,9 @@
     std::function<void(const base::error&)> failed_;
     // The platform replies, for the first time or again after a failure.
     std::function<void()> recovered_;
+    // The number of entries has changed that the platform lacks after an outage and that stay in
+    // use for a while, because they may come back.
+    std::function<void(std::size_t count)> kept_count_changed_;
 };
 
 // Watches the platform from construction on; no call is needed to start it.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,9 +1,12 @@
 #include "node/node.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <utility>
 
 #include "base/random.h"
+#include "config/host_list_changes.h"
 
 namespace dandelionridge::node {
 
@@ -23,6 +26,10 @@
 constexpr int accept_nested_percent = 75;
 // The process ends after more than this many consecutive checks that found nothing in flight.
 constexpr int flush_checks = 2;
+// The source of versions that were read from the platform, in events.
+constexpr const char* platform_source = "platform";
+// Maximum number of targets that one event names in each of its lists.
+constexpr std::size_t max_logged_names = 16;
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
@@ -45,6 +52,18 @@
     return "gap";
 }
 
+// Joins names for the log: at most max_logged_names, and the number of the others.
+std::string join_names(std::span<const std::string> names) {
+    std::string joined;
+    for (const std::string& name : names.first(std::min(names.size(), max_logged_names))) {
+        joined += joined.empty() ? name : "," + name;
+    }
+    if (names.size() > max_logged_names) {
+        joined += ",+" + std::to_string(names.size() - max_logged_names);
+    }
+    return joined;
+}
+
 std::int64_t generate_boot_id() {
     base::random_engine random = base::make_random_engine();
     return base::random_id(random);
@@ -72,6 +91,7 @@
                 [this] { return gossip_.freshness_age(); }},
       events_({settings_.host_, settings_.zone_, identity_.boot_}),
       configuration_(environment_.parsers_),
+      recorded_hosts_(configuration_.hosts()),
       gossip_(clock, configuration_, *this,
               {settings_.host_, settings_.zone_, settings_.view_bound_ / view_requests_per_bound,
                settings_.strict_freshness_}),
@@ -176,6 +196,9 @@
         record("platform_failed", {{"error", error.message_}});
     };
     callbacks.recovered_ = [this] { record("platform_answers", {}); };
+    callbacks.kept_count_changed_ = [this](std::size_t count) {
+        record("missing_entries_kept", {{"count", std::to_string(count)}});
+    };
     feed_ = environment_.make_feed_(*loop_, settings_, std::move(callbacks));
 }
 
@@ -198,7 +221,13 @@
 
 void node::on_published(control::config_value_kind kind, std::int64_t version,
                         const std::vector<std::string>& lines) {
-    const control::offer_outcome outcome = configuration_.offer_lines(kind, version, lines);
+    record_offer(kind, version, configuration_.offer_lines(kind, version, lines), platform_source);
+}
+
+// Records what became of an offered version. `source` is the peer that offered it, or
+// platform_source.
+void node::record_offer(control::config_value_kind kind, std::int64_t version,
+                        control::offer_outcome outcome, const std::string& source) {
     if (outcome == control::offer_outcome::stale) {
         return;
     }
@@ -208,7 +237,31 @@
     if (outcome == control::offer_outcome::rejected) {
         fields.push_back({"error", configuration_.state(kind).rejected_->message_});
     }
-    record("configuration", std::move(fields));
+    if (source == platform_source) {
+        record("configuration", std::move(fields));
+    } else {
+        fields.push_back({"peer", source});
+        record("configuration_from_peer", std::move(fields));
+    }
+    if (outcome == control::offer_outcome::accepted && kind == control::config_value_kind::hosts) {
+        record_target_changes(source);
+    }
+}
+
+// Records which targets the host list in force adds, marks as leaving or removes.
+void node::record_target_changes(const std::string& source) {
+    const config::host_list_changes changes =
+        config::changes_between(*recorded_hosts_, *configuration_.hosts());
+    recorded_hosts_ = configuration_.hosts();
+    if (config::is_empty(changes)) {
+        return;
+    }
+    record("targets_changed", {{"version", std::to_string(recorded_hosts_->version_)},
+                               {"source", source},
+                               {"added", join_names(changes.added_)},
+                               {"returned", join_names(changes.returned_)},
+                               {"leaving", join_names(changes.leaving_)},
+                               {"removed", join_names(changes.removed_)}});
 }
 
 void node::run() {
@@ -307,14 +360,9 @@
 
 void node::on_update(const std::string& peer, const wire::config_update& update,
                      const control::frame_sender& reply) {
-    const control::offer_outcome outcome = gossip_.on_update(update, reply);
-    if (outcome != control::offer_outcome::stale) {
-        record("configuration_from_peer",
-               {{"peer", peer},
-                {"value", update.value == wire::config_value::rules ? "rules" : "hosts"},
-                {"version", std::to_string(update.version)},
-                {"outcome", to_text(outcome)}});
-    }
+    const auto kind = update.value == wire::config_value::rules ? control::config_value_kind::rules
+                                                                : control::config_value_kind::hosts;
+    record_offer(kind, update.version, gossip_.on_update(update, reply), peer);
 }
 
 void node::send(const std::string& host, const wire::frame& frame) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,6 +64,9 @@
                    const control::frame_sender& reply);
     void on_published(control::config_value_kind kind, std::int64_t version,
                       const std::vector<std::string>& lines);
+    void record_offer(control::config_value_kind kind, std::int64_t version,
+                      control::offer_outcome outcome, const std::string& source);
+    void record_target_changes(const std::string& source);
     bool serving() const { return identity_.ready_to_serve_() && !draining_; }
     std::string admin_response(const std::string& path, int& status, std::string& type) const;
     std::string status_json() const;
@@ -79,6 +82,8 @@
     observe::event_log events_;
     observe::metrics metrics_;
     control::configuration configuration_;
+    // The host list whose changes were recorded last.
+    config::hosts_ptr recorded_hosts_;
     control::gossip gossip_;
     control::fleet_quota quota_;
     std::unique_ptr<net::event_loop> loop_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "config/host_list.h"
+#include "config/host_list_changes.h"
 #include "config/rule_parser.h"
 #include "config/settings.h"
 #include "config/versioned_lines.h"
@@ -236,3 +237,26 @@
           offer_outcome::delta_mismatch);
     CHECK(held_configuration.version(config_value_kind::rules) == 7);
 }
+
+TEST_CASE("changes between host lists tell a target that left from one that came back",
+          "[config]") {
+    const auto make_list = [](const std::vector<std::pair<std::string, bool>>& hosts) {
+        std::vector<host_entry> entries;
+        for (const auto& [name, leaving] : hosts) {
+            entries.push_back(
+                {name, "z1", {"10.0.0.1", 7000}, leaving, {{"t" + name, "orders", {}, 0, false}}});
+        }
+        return *make_host_list(1, std::move(entries));
+    };
+    const hosts_ptr before =
+        make_list({{"1", false}, {"2", false}, {"3", true}, {"4", false}, {"6", true}});
+    const hosts_ptr after =
+        make_list({{"1", false}, {"2", true}, {"3", false}, {"5", false}, {"6", true}});
+    const host_list_changes changes = changes_between(*before, *after);
+    CHECK(changes.leaving_ == std::vector<std::string>{"t2"});
+    CHECK(changes.returned_ == std::vector<std::string>{"t3"});
+    CHECK(changes.removed_ == std::vector<std::string>{"t4"});
+    CHECK(changes.added_ == std::vector<std::string>{"t5"});
+    CHECK_FALSE(is_empty(changes));
+    CHECK(is_empty(changes_between(*after, *after)));
+}
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -46,6 +46,7 @@
             callbacks.confirmed_ = [](base::instant) {};
             callbacks.failed_ = [this](const base::error&) { ++failures_; };
             callbacks.recovered_ = [] {};
+            callbacks.kept_count_changed_ = [](std::size_t) {};
             feed_ = std::make_unique<store_feed>(thread_.loop(), store_address,
                                                  base::milliseconds(300), std::move(callbacks));
         });
