Keep to this host the targets that a hold keeps in use

Callers saw: reads were sent to a target that had left 2.7 s before (bound 2.5 s); both the caller proxy and the target proxy beside it let them pass.

Cause: a process that regains the store keeps, for 2.2 s, entries that the store no longer has, since they may come back. It published them in the host list under the store's newest revision. Peers that had already removed the target pulled that list, because its version was higher, and then ignored their own reading of the same revision as old.

Change: the list that is versioned and passed on holds just what the store has. A hold names the missing targets; configuration keeps those that were in use here, beside the list, and during the hold peers are neither told of nor sent the host list, which may lack targets that are still there. Why this works: no list that contains a guess leaves the process any more, and two lists of one version are equal everywhere.

--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -1,7 +1,6 @@
 // The source from which a process reads its configuration.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -27,9 +26,9 @@
     std::function<void(const base::error&)> failed_;
     // The platform replies, for the first time or again after a failure.
     std::function<void()> recovered_;
-    // The number of entries has changed that the platform lacks after an outage and that stay in
-    // use for a while, because they may come back.
-    std::function<void(std::size_t count)> kept_count_changed_;
+    // A hold has begun or ended, or its missing targets have changed. Called before published_ is
+    // called with a list that lacks them.
+    std::function<void(const platform_hold&)> hold_changed_;
 };
 
 // Watches the platform from construction on; no call is needed to start it.
--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -1,11 +1,41 @@
 #include "control/configuration.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "config/rule_parser.h"
 
 namespace dandelionridge::control {
 
+namespace {
+
+bool has_target_in(const config::host_entry& host, const std::set<std::string>& targets) {
+    return std::any_of(
+        host.targets_.begin(), host.targets_.end(),
+        [&](const config::target_entry& target) { return targets.contains(target.name_); });
+}
+
+// Returns the newly listed hosts and, of those in use so far, the unlisted ones with a missing
+// target.
+config::hosts_ptr keep_missing_targets(const config::hosts_ptr& listed,
+                                       const config::host_list& in_use,
+                                       const std::set<std::string>& missing_targets) {
+    std::vector<config::host_entry> hosts = listed->hosts_;
+    for (const config::host_entry& host : in_use.hosts_) {
+        if (has_target_in(host, missing_targets) &&
+            config::find_host(*listed, host.name_) == nullptr) {
+            hosts.push_back(host);
+        }
+    }
+    if (hosts.size() == listed->hosts_.size()) {
+        return listed;
+    }
+    // Cannot fail, since no host was added that is listed.
+    return *config::make_host_list(listed->version_, std::move(hosts));
+}
+
+}  // namespace
+
 config_parsers line_parsers() {
     config_parsers parsers;
     parsers.hosts_ = config::parse_hosts;
@@ -24,7 +54,8 @@
 configuration::configuration(config_parsers parsers)
     : parsers_(std::move(parsers)),
       rules_(std::make_shared<config::rule_set>()),
-      hosts_(std::make_shared<config::host_list>()) {}
+      hosts_(std::make_shared<config::host_list>()),
+      listed_hosts_(hosts_) {}
 
 const config_value_state& configuration::state(config_value_kind kind) const {
     return kind == config_value_kind::rules ? rules_state_ : hosts_state_;
@@ -41,7 +72,8 @@
         if (!hosts) {
             return hosts.error().message_;
         }
-        hosts_ = std::move(*hosts);
+        listed_hosts_ = std::move(*hosts);
+        hosts_ = keep_missing_targets(listed_hosts_, *hosts_, hold_.missing_targets_);
         return std::nullopt;
     }
     auto rules = parsers_.rules_(version, source_lines);
@@ -60,10 +92,33 @@
         return offer_outcome::rejected;
     }
     value.previous_ = std::exchange(value.lines_, std::move(lines));
+    notify(kind);
+    return offer_outcome::accepted;
+}
+
+void configuration::notify(config_value_kind kind) {
     for (const auto& listener : listeners_) {
         listener(kind);
     }
-    return offer_outcome::accepted;
+}
+
+void configuration::set_hold(const platform_hold& hold) {
+    if (hold.active_ && !hold_.active_) {
+        hosts_version_before_hold_ = version(config_value_kind::hosts);
+    }
+    hold_ = hold;
+    if (!hold_.active_ && hosts_ != listed_hosts_) {
+        hosts_ = listed_hosts_;
+        notify(config_value_kind::hosts);
+    }
+}
+
+bool configuration::is_shared(config_value_kind kind) const {
+    return kind == config_value_kind::rules || !hold_.active_;
+}
+
+std::int64_t configuration::shared_version(config_value_kind kind) const {
+    return is_shared(kind) ? version(kind) : hosts_version_before_hold_;
 }
 
 offer_outcome configuration::offer_lines(config_value_kind kind, std::int64_t version,
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,14 @@
     std::uint64_t ignored_stale_ = 0;
 };
 
+// A time after an outage of the platform in which its list of targets may lack some that are still
+// there.
+struct platform_hold {
+    bool active_ = false;
+    // Names of the targets that the platform's list lost in the outage or since.
+    std::set<std::string> missing_targets_;
+};
+
 // Holds both values. Does no I/O; callers supply versions and times.
 class configuration {
 public:
@@ -77,6 +86,18 @@
     // lines, with base 0, unless `known_version` is the version before.
     config::line_delta delta_from(config_value_kind kind, std::int64_t known_version) const;
 
+    // Sets the hold. While it is active, the missing targets stay in use on this host if they were
+    // in use before, and the host list is not passed on to peers: a list that was read just after
+    // an outage may lack targets that are still there.
+    void set_hold(const platform_hold& hold);
+
+    // Returns the version of a value that peers may pull: during a hold, that of the host list from
+    // before it.
+    std::int64_t shared_version(config_value_kind kind) const;
+
+    // Returns true if the value in force may be passed on to peers.
+    bool is_shared(config_value_kind kind) const;
+
     // Records that the platform confirmed at `when` that the versions in force are its newest. No
     // effect if a later confirmation is known.
     void confirm(base::instant when);
@@ -85,7 +106,7 @@
     base::duration confirmed_age(base::instant now) const;
 
     // rules() and hosts() return the values in force: never null, and empty before the first
-    // version.
+    // version. hosts() also contains the targets that a hold keeps in use.
     const config::rules_ptr& rules() const { return rules_; }
     const config::hosts_ptr& hosts() const { return hosts_; }
     std::int64_t version(config_value_kind kind) const { return state(kind).lines_.version_; }
@@ -101,6 +122,7 @@
     config_value_state& mutable_state(config_value_kind kind);
     offer_outcome apply(config_value_kind kind, config::versioned_lines lines,
                         const std::vector<std::string>& source_lines);
+    void notify(config_value_kind kind);
     std::optional<std::string> parse(config_value_kind kind, std::int64_t version,
                                      const std::vector<std::string>& source_lines);
 
@@ -109,6 +131,11 @@
     config_value_state hosts_state_;
     config::rules_ptr rules_;
     config::hosts_ptr hosts_;
+    // The newest host list, without targets that a hold keeps in use.
+    config::hosts_ptr listed_hosts_;
+    platform_hold hold_;
+    // Version of the host list when the hold began.
+    std::int64_t hosts_version_before_hold_ = 0;
     std::optional<base::instant> confirmed_at_;
     std::vector<std::function<void(config_value_kind)>> listeners_;
 };
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -65,8 +65,8 @@
 
 wire::config_versions gossip::versions() const {
     wire::config_versions versions;
-    versions.rules = configuration_.version(config_value_kind::rules);
-    versions.hosts = configuration_.version(config_value_kind::hosts);
+    versions.rules = configuration_.shared_version(config_value_kind::rules);
+    versions.hosts = configuration_.shared_version(config_value_kind::hosts);
     const auto age = base::whole_ms(configuration_.confirmed_age(clock_.now()));
     versions.confirmed_age_ms = std::min(age, max_reported_age_ms);
     return versions;
@@ -188,7 +188,7 @@
 
 void gossip::on_pull(const wire::config_pull& pull, const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(pull.value);
-    if (configuration_.version(kind) <= pull.have) {
+    if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
         return;
     }
     config::line_delta delta = configuration_.delta_from(kind, pull.have);
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -56,7 +56,7 @@
     // does not reply.
     void tick(bool platform_available);
 
-    // Returns the versions in force in this process.
+    // Returns the versions that peers may pull from this process.
     wire::config_versions versions() const;
 
     // Returns true once this process may serve. In strict mode it must first have compared both
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -196,12 +196,17 @@
         record("platform_failed", {{"error", error.message_}});
     };
     callbacks.recovered_ = [this] { record("platform_answers", {}); };
-    callbacks.kept_count_changed_ = [this](std::size_t count) {
-        record("missing_entries_kept", {{"count", std::to_string(count)}});
-    };
+    callbacks.hold_changed_ = [this](const control::platform_hold& hold) { on_hold(hold); };
     feed_ = environment_.make_feed_(*loop_, settings_, std::move(callbacks));
 }
 
+void node::on_hold(const control::platform_hold& hold) {
+    record("missing_entries_kept", {{"holding", hold.active_ ? "true" : "false"},
+                                    {"count", std::to_string(hold.missing_targets_.size())}});
+    configuration_.set_hold(hold);
+    record_target_changes("hold");
+}
+
 // Runs the periodic work of the controllers.
 void node::tick() {
     gossip_.tick(feed_->platform_available());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -58,6 +58,7 @@
     base::result<bool> open();
     base::result<bool> open_admin();
     void open_feed();
+    void on_hold(const control::platform_hold& hold);
     void tick();
     void on_accepted(control::config_value_kind kind);
     void on_update(const std::string& peer, const wire::config_update& update,
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -260,3 +260,48 @@
     CHECK_FALSE(is_empty(changes));
     CHECK(is_empty(changes_between(*after, *after)));
 }
+
+TEST_CASE("during a hold missing targets stay in use here and the host list is not shared",
+          "[config]") {
+    const auto line = [](const std::string& number) {
+        return R"({"host":"h)" + number + R"(","zone":"z1","address":"10.0.0.)" + number +
+               R"(:7000","state":"live","targets":[{"target":"t)" + number +
+               R"(","service":"orders","address":"10.0.0.)" + number + R"(:9000"}]})";
+    };
+    const auto is_listed = [](const control::configuration& values, const char* host) {
+        return find_host(*values.hosts(), host) != nullptr;
+    };
+    constexpr auto hosts = control::config_value_kind::hosts;
+    control::configuration values;
+    int notices = 0;
+    values.on_accepted([&](control::config_value_kind) { ++notices; });
+    values.offer_lines(hosts, 5, {line("1"), line("2"), line("3")});
+    // Host 3 was removed before the hold, so the hold does not bring it back.
+    values.offer_lines(hosts, 6, {line("1"), line("2")});
+    values.set_hold({true, {"t2", "t3"}});
+    values.offer_lines(hosts, 7, {line("1")});
+    CHECK(is_listed(values, "h2"));
+    CHECK(values.hosts()->by_service_.at("orders").size() == 2);
+    CHECK_FALSE(is_listed(values, "h3"));
+    CHECK(values.version(hosts) == 7);
+    CHECK(values.shared_version(hosts) == 6);
+    CHECK_FALSE(values.is_shared(hosts));
+    CHECK(values.is_shared(control::config_value_kind::rules));
+    SECTION("a target that comes back is listed once") {
+        values.set_hold({true, {}});
+        values.offer_lines(hosts, 8, {line("1"), line("2")});
+        CHECK(values.hosts()->hosts_.size() == 2);
+        const int notices_before = notices;
+        values.set_hold({});
+        CHECK(is_listed(values, "h2"));
+        CHECK(notices == notices_before);
+        CHECK(values.shared_version(hosts) == 8);
+    }
+    SECTION("a target that is still missing when the hold ends is gone") {
+        const int notices_before = notices;
+        values.set_hold({});
+        CHECK_FALSE(is_listed(values, "h2"));
+        CHECK(notices == notices_before + 1);
+        CHECK(values.shared_version(hosts) == 7);
+    }
+}
--- /dev/null
+++ b/tests/support/store_fleet.h
@@ -0,0 +1,80 @@
+// A small fleet of real processes on the users' platform, with stubs for its store and its targets.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/caller.h"
+#include "support/local.h"
+#include "support/process.h"
+#include "support/store_stub.h"
+#include "support/target_stub.h"
+
+namespace dandelionridge::support {
+
+// Hosts are numbered from 1. Host N has the target "i-N" and reads the store through a stub of its
+// own, so that the store can fail for one host or lag there. All hosts are in zone z1.
+class store_fleet {
+public:
+    // `services` holds the service of each host's target. A service S has the routes
+    // S.example/reads/ (idempotent) and S.example/orders/ (non-idempotent).
+    explicit store_fleet(std::vector<std::string> services);
+    store_fleet(const store_fleet&) = delete;
+    store_fleet& operator=(const store_fleet&) = delete;
+    ~store_fleet();
+
+    // Starts all processes and waits until each serves and has links to all. Throws if one does not
+    // within 60 s.
+    void start_all();
+
+    // Starts the process of a host and waits until it serves. Throws if it does not within 60 s.
+    void start(std::size_t host);
+
+    process& host(std::size_t number) { return *processes_.at(number); }
+    store_stub& store_of(std::size_t host) { return *stores_.at(host - 1); }
+    target_stub& target(std::size_t host) { return *targets_.at(host - 1); }
+
+    // Writes the entry of a host's target, or removes it, in the stores that all hosts read.
+    void write_entry(std::size_t host, const std::string& state);
+    void remove_entry(std::size_t host);
+
+    // Sets how a host's target responds. Adds the header that proves that the target responded.
+    void set_target(std::size_t host, target_behaviour behaviour);
+
+    // Returns a request through the caller proxy of a host to a service's targets. A POST has a
+    // body and is not idempotent.
+    caller_request request_to(const std::string& service, std::size_t caller_proxy,
+                              const std::string& id, const std::string& method) const;
+
+    // Returns the key and the value of the store entry of a host's target.
+    static std::string entry_key(std::size_t host);
+    std::string entry_value(std::size_t host, const std::string& state) const;
+
+    // Returns the text of a host's log.
+    std::string log_of(std::size_t host) const;
+
+    // Returns the number at a JSON pointer in a host's status, or -1 if there is none.
+    std::int64_t status_number(std::size_t host, const std::string& pointer) const;
+
+private:
+    std::string configuration() const;
+    std::string admin(std::size_t host, const std::string& path) const;
+    std::string write_settings(std::size_t host) const;
+    void launch(std::size_t host);
+    void wait_until_serving(std::size_t host) const;
+
+    std::vector<std::string> services_;
+    std::string directory_;
+    // By host, from host 1 on.
+    std::vector<std::unique_ptr<store_stub>> stores_;
+    std::vector<std::unique_ptr<target_stub>> targets_;
+    std::map<std::size_t, std::unique_ptr<process>> processes_;
+    // Sequence number of the entry that was written last.
+    std::int64_t entry_sequence_ = 0;
+};
+
+}  // namespace dandelionridge::support
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -41,6 +41,8 @@
     base::duration delay_{};
     // Sends bodies with chunked transfer coding, without content-length.
     bool chunked_ = false;
+    // Further headers of every response but those of mode shed.
+    std::vector<net::http_header> headers_{};
 };
 
 // Returns a part of the body of the download at `path`, which is the same at every target.
