Take a target out of choice when it says in a response that it is leaving

Callers saw: nothing yet; operators announced that a leaving target says so in each response (Server-Leaving: 1) and that a host which passed such a response on must stop sending to it, in touch with the store or not.

Cause: the header was forwarded and not read. The list was the only way in which a process learned that a target leaves, so a host cut off from the store went on sending.

Change: the target proxy reads the header, refuses what waits and what arrives for that target, and reports it to all caller proxies (target_report, two new fields that older programs ignore). A caller proxy remembers it from a response that it passes on, whatever the target proxy says, and from reports. What is remembered holds for the target as it was started (`born`), so neither a lagging list, a lapse of its entry nor a restart of the target proxy undoes it, and a target that is started again under its id is used again. A refusal that concerns only the target no longer takes its whole host out of choice. In the product's own form the header is x-target-leaving, and a host line may give started_ms. Why this works: the two processes that a request passes both know, without the store.

--- a/src/config/header_policy.h
+++ b/src/config/header_policy.h
@@ -25,6 +25,8 @@
     std::string response_proof_;
     // Response header by which the target reports that it did not run the request.
     std::string not_run_;
+    // Response header by which the target reports, with the value "1", that it is leaving.
+    std::string leaving_ = "x-target-leaving";
     // Retry-After may contain fractions of a second; otherwise it is rounded up to whole seconds.
     bool fractional_retry_after_ = false;
 };
--- a/src/config/host_list.cpp
+++ b/src/config/host_list.cpp
@@ -30,6 +30,19 @@
     return base::parse_address(*text);
 }
 
+base::result<std::int64_t> started_ms_of(const json& object) {
+    const auto found = object.find("started_ms");
+    if (found == object.end()) {
+        return 0;
+    }
+    if (!found->is_number_integer() || found->get<std::int64_t>() < 0) {
+        return base::fail(
+            base::error_kind::bad_hosts,
+            "'started_ms' is not a whole number of milliseconds; correct or remove it");
+    }
+    return found->get<std::int64_t>();
+}
+
 base::result<target_entry> parse_target(const json& object) {
     const auto name = text_of(object, "target");
     const auto service = text_of(object, "service");
@@ -43,7 +56,11 @@
     if (!address) {
         return tl::unexpected(address.error());
     }
-    return target_entry{*name, *service, *address, 0, false};
+    const auto started_ms = started_ms_of(object);
+    if (!started_ms) {
+        return tl::unexpected(started_ms.error());
+    }
+    return target_entry{*name, *service, *address, 0, false, *started_ms};
 }
 
 base::result<bool> is_leaving(const json& object) {
@@ -135,6 +152,15 @@
     return hosts;
 }
 
+const target_entry* find_target_entry(const host_entry& host, std::string_view target,
+                                      std::string_view service) {
+    const auto found =
+        std::find_if(host.targets_.begin(), host.targets_.end(), [&](const target_entry& entry) {
+            return entry.name_ == target && entry.service_ == service;
+        });
+    return found == host.targets_.end() ? nullptr : &*found;
+}
+
 const host_entry* find_host(const host_list& hosts, std::string_view name) {
     const auto found =
         std::lower_bound(hosts.hosts_.begin(), hosts.hosts_.end(), name,
--- a/src/config/host_list.h
+++ b/src/config/host_list.h
@@ -23,6 +23,8 @@
     int slots_ = 0;
     // The target was started recently and is slower than usual.
     bool warming_ = false;
+    // Start of the target in milliseconds since 1970; 0 if the list does not say.
+    std::int64_t started_ms_ = 0;
 };
 
 struct host_entry {
@@ -53,13 +55,18 @@
 
 // Parses the lines of one version, each of which holds the JSON object of one host:
 // {"host":"h1","zone":"z1","address":"127.0.0.1:7001","state":"live",
-//  "targets":[{"target":"t1","service":"orders","address":"127.0.0.1:9001"}]}
+//  "targets":[{"target":"t1","service":"orders","address":"127.0.0.1:9001","started_ms":17}]}
+// `started_ms` is optional. It tells a target from a later one with the same name.
 base::result<hosts_ptr> parse_hosts(std::int64_t version, const std::vector<std::string>& lines);
 
 // Builds a host list: sorts the hosts by name and indexes the targets by service. Returns an error
 // if a host is listed twice. Every parser of host lists ends with this call.
 base::result<hosts_ptr> make_host_list(std::int64_t version, std::vector<host_entry> hosts);
 
+// Returns the target of that name and service on a host, or null.
+const target_entry* find_target_entry(const host_entry& host, std::string_view target,
+                                      std::string_view service);
+
 // Returns the host of that name, or null.
 const host_entry* find_host(const host_list& hosts, std::string_view name);
 
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -53,19 +53,23 @@
                                         const wire::attempt_begin& begin) {
     const config::settings& settings = view.settings_;
     if (const config::host_entry* own_host = config::find_host(view.hosts_, settings.host_)) {
-        for (const config::target_entry& target : own_host->targets_) {
-            if (target.name_ == begin.target_name && target.service_ == begin.service_name) {
-                const int slots = target.slots_ > 0
-                                      ? target.slots_
-                                      : slots_by_rules(view, target.service_, target.name_);
-                return local_target{target.address_, slots, own_host->leaving_};
-            }
+        const config::target_entry* target =
+            config::find_target_entry(*own_host, begin.target_name, begin.service_name);
+        if (target != nullptr) {
+            const int slots = target->slots_ > 0
+                                  ? target->slots_
+                                  : slots_by_rules(view, target->service_, target->name_);
+            const bool departing =
+                policy::is_departing(view.departures_, target->name_, target->started_ms_);
+            return local_target{target->address_, slots, own_host->leaving_ || departing,
+                                target->started_ms_};
         }
     }
     if (settings.target_address_.port_ != 0 && settings.target_service_ == begin.service_name) {
-        const bool delisted = view.previously_listed_.contains(begin.target_name);
+        const bool leaving = view.previously_listed_.contains(begin.target_name) ||
+                             policy::is_departing(view.departures_, begin.target_name, 0);
         return local_target{settings.target_address_, default_slots(view, begin.service_name),
-                            delisted};
+                            leaving};
     }
     return std::nullopt;
 }
--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -2,6 +2,7 @@
 // the request's key a last time before a slot is used.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 #include "config/host_list.h"
 #include "config/rules.h"
 #include "config/settings.h"
+#include "policy/departures.h"
 #include "wire/gen/fleet_types.h"
 
 namespace dandelionridge::node {
@@ -23,6 +25,7 @@
     base::duration freshness_age_{};
     // Names of this host's targets that a host list has contained.
     const std::set<std::string>& previously_listed_;
+    const policy::departures& departures_;
 };
 
 // Adds the names of the targets that a host list contains on this host to `previously_listed`.
@@ -33,8 +36,11 @@
 struct local_target {
     base::address address_;
     int slots_ = 1;
-    // True if the host list marks the host as leaving, or no longer contains the target.
+    // True if the host list marks the host as leaving or no longer contains the target, or if the
+    // target reported that it is leaving.
     bool leaving_ = false;
+    // Start of the target in milliseconds since 1970; 0 if unknown.
+    std::int64_t started_ms_ = 0;
 };
 
 // Returns the target that an attempt names, or nothing if it is not on this host. If the settings
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -220,6 +220,7 @@
     attempt_ = std::make_unique<current_attempt>();
     attempt_->link_ = &owner_.dependencies_.links_.link_to(*chosen->host_);
     attempt_->target_ = chosen->target_->name_;
+    attempt_->target_started_ms_ = chosen->target_->started_ms_;
     owner_.views_.begin_attempt(attempt_->target_);
     peer_link& link = *attempt_->link_;
     link.start(make_attempt_begin(*chosen), *this);
@@ -317,7 +318,8 @@
     if (refusal.__isset.report) {
         owner_.record_report(refusal.report);
     }
-    if (refusal.reason == wire::refusal_reason::draining) {
+    const bool only_target_leaves = refusal.__isset.report && refusal.report.leaving;
+    if (refusal.reason == wire::refusal_reason::draining && !only_target_leaves) {
         owner_.set_draining(attempt_->link_->peer(), true);
     }
     if (refusal.reason == wire::refusal_reason::target_unreachable) {
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -58,6 +58,8 @@
     struct current_attempt {
         peer_link* link_ = nullptr;
         std::string target_;
+        // Start of the target in milliseconds since 1970; 0 if unknown.
+        std::int64_t target_started_ms_ = 0;
         // Valid once `written_` is set.
         policy::attempt_id id_;
         // The attempt was written to the target proxy's link.
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -6,6 +6,7 @@
 
 #include "filter/forwarded_headers.h"
 #include "node/call.h"
+#include "node/reported_state.h"
 #include "policy/retry_after.h"
 
 namespace dandelionridge::node {
@@ -34,6 +35,9 @@
     if (head.__isset.report) {
         owner_.record_report(head.report);
     }
+    if (reports_leaving(owner_.dependencies_.headers_, head.headers)) {
+        owner_.record_departure(attempt_->target_, attempt_->target_started_ms_);
+    }
     if (head_sent_ && resuming_) {
         if (!continues_response(head)) {
             exclude_target();
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "node/call.h"
+#include "node/departure_expiry.h"
 #include "policy/target_health.h"
 
 namespace dandelionridge::node {
@@ -119,10 +120,24 @@
 
 void caller_proxy::record_report(const wire::target_report& report) {
     views_.record(report, dependencies_.loop_.clock().now());
+    if (report.leaving) {
+        record_departure(report.target, report.started_ms);
+    }
+}
+
+void caller_proxy::record_departure(const std::string& target, std::int64_t started_ms) {
+    if (policy::record_departure(departures_, target, started_ms,
+                                 dependencies_.loop_.clock().now())) {
+        dependencies_.events_.record(
+            dependencies_.loop_.clock().wall_ms(), "leaving_target_excluded",
+            {{"target", target}, {"started_ms", std::to_string(started_ms)}});
+    }
 }
 
 void caller_proxy::expire_stale_targets() {
-    views_.expire_stale(dependencies_.loop_.clock().now());
+    const base::instant now = dependencies_.loop_.clock().now();
+    views_.expire_stale(now);
+    expire_departures(departures_, *dependencies_.configuration_.hosts(), now);
 }
 
 // Returns this caller proxy's limits. The retry budget is that of the whole fleet, so each caller
@@ -158,8 +173,9 @@
     candidate.warming_ = target.warming_;
     candidate.disconnected_ = link != nullptr && link->reconnecting();
     candidate.unreachable_ = link != nullptr && link->failing();
-    candidate.excluded_ =
-        host.leaving_ || is_draining(host.name_) || !config::is_target_enabled(rules, target.name_);
+    candidate.excluded_ = host.leaving_ || is_draining(host.name_) ||
+                          policy::is_departing(departures_, target.name_, target.started_ms_) ||
+                          !config::is_target_enabled(rules, target.name_);
     if (view != nullptr) {
         candidate.run_duration_ = run_duration_of(view->report_, kind);
         candidate.untried_ = view->report_.run_ms == 0;
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -22,6 +22,7 @@
 #include "observe/event.h"
 #include "observe/metrics.h"
 #include "policy/balance.h"
+#include "policy/departures.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -82,7 +83,11 @@
     // Records a target proxy's report on its target.
     void record_report(const wire::target_report& report);
 
-    // Removes the views of targets whose last report is too old.
+    // Records that a target reported that it is leaving. `started_ms` is the start of the target in
+    // milliseconds since 1970; 0 if unknown. The target is not chosen any more.
+    void record_departure(const std::string& target, std::int64_t started_ms);
+
+    // Removes what is known of targets but no longer applies. Called when a host list is in force.
     void expire_stale_targets();
 
     // Refuses new requests from now on, because the process will exit before they could complete.
@@ -131,6 +136,8 @@
     bool refuses_new_requests_ = false;
     bool refuses_nested_ = false;
     target_views views_;
+    // Targets that reported that they are leaving.
+    policy::departures departures_;
     // Keyed by service name.
     std::unordered_map<std::string, policy::retry_budget> retry_budgets_;
     // All calls that exist; each adds and removes itself.
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -209,9 +209,12 @@
 }
 
 admission_view target_proxy::make_admission_view() const {
-    return {*configuration_.rules(), *configuration_.hosts(), settings_,
+    return {*configuration_.rules(),
+            *configuration_.hosts(),
+            settings_,
             settings_.strict_freshness_ ? identity_.freshness_age_() : base::duration::zero(),
-            previously_listed_};
+            previously_listed_,
+            departures_};
 }
 
 void target_proxy::on_cancel(connection& link, const wire::attempt_cancel& cancel) {
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -25,6 +25,7 @@
 #include "node/target_proxy_attempt.h"
 #include "observe/event.h"
 #include "policy/attempt_ledger.h"
+#include "policy/departures.h"
 #include "policy/idle_target.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
@@ -67,6 +68,8 @@
 
     void send_to_caller_proxy(const target_proxy_attempt& attempt,
                               const wire::frame& frame) override;
+    void on_target_response(const target_proxy_attempt& attempt,
+                            const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
     void on_wait_expired(target_proxy_attempt& attempt) override;
     wire::target_report make_report_for(const target_proxy_attempt& attempt) override;
@@ -100,6 +103,8 @@
     // State of the target at one address.
     struct target_state {
         std::string name_;
+        // Start of the target in milliseconds since 1970; 0 if unknown.
+        std::int64_t started_ms_ = 0;
         std::unique_ptr<net::http_client_pool> pool_;
         policy::slot_queue queue_;
         policy::target_health health_;
@@ -151,7 +156,12 @@
                     attempt_result result);
     bool failed_by_target(const target_proxy_attempt& attempt, attempt_result result) const;
     wire::target_report make_report(const target_state& target) const;
+    void record_health_change(const target_state& target);
+    void record_departure(const target_state& target);
     void broadcast_report(const target_state& target);
+    bool is_departing(const target_state& target) const;
+    const target_state* find_state(const wire::attempt_begin& begin) const;
+    void refuse_unrunnable_waiting();
     void request_probe_traffic(target_state& target);
     void check_targets();
     void finish(target_proxy_attempt& attempt);
@@ -196,6 +206,8 @@
     base::instant last_failed_call_at_{};
     // Names of this host's targets that a host list has contained.
     std::set<std::string> previously_listed_;
+    // This host's targets that reported that they are leaving.
+    policy::departures departures_;
     target_proxy_counters counters_;
     bool draining_ = false;
 };
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -171,6 +171,7 @@
     if (response.length_) {
         response_.head_.__set_length(static_cast<std::int64_t>(*response.length_));
     }
+    owner_.on_target_response(*this, response);
 }
 
 void target_proxy_attempt::send_response_head() {
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -56,6 +56,10 @@
     virtual void send_to_caller_proxy(const target_proxy_attempt& attempt,
                                       const wire::frame& frame) = 0;
 
+    // Called when the head of the target's response has arrived.
+    virtual void on_target_response(const target_proxy_attempt& attempt,
+                                    const net::http_response& response) = 0;
+
     // Called when the run has ended. The attempt may be destroyed after this call, but not during
     // it.
     virtual void on_run_ended(target_proxy_attempt& attempt, attempt_result result) = 0;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/departure_expiry.h"
+#include "node/reported_state.h"
 #include "node/target_proxy.h"
 #include "node/wire_attempt.h"
 
@@ -17,6 +19,8 @@
 // this many times the expected duration.
 constexpr int hung_run_factor = 3;
 constexpr int min_server_error_status = 500;
+// Status with which a target rejects a request that is meant for another target.
+constexpr int status_misdirected = 421;
 constexpr double percent = 100;
 // Maximum number of caller proxies that are asked at a time for a request to an idle target.
 constexpr std::size_t max_probe_requests = 10;
@@ -51,6 +55,13 @@
 
 void target_proxy::on_configuration_changed() {
     record_listed_targets(previously_listed_, *configuration_.hosts(), settings_.host_);
+    expire_departures(departures_, *configuration_.hosts(), loop_.clock().now());
+    refuse_unrunnable_waiting();
+}
+
+// Refuses the queued attempts that may no longer run here, so that their caller proxies can choose
+// another target.
+void target_proxy::refuse_unrunnable_waiting() {
     std::vector<target_proxy_attempt*> waiting;
     for (const auto& [id, key] : waiting_) {
         waiting.push_back(attempts_.at(key).get());
@@ -70,7 +81,7 @@
     const wire::attempt_begin& begin) {
     const base::instant now = loop_.clock().now();
     if (policy::update_health(target.health_, now)) {
-        broadcast_report(target);
+        record_health_change(target);
     }
     if (!begin.allow_ejected && !policy::accepts(target.health_, begin.idempotent, now)) {
         return wire::refusal_reason::target_ejected;
@@ -119,6 +130,7 @@
         target.pool_->clear();
     }
     target.slots_ = found.slots_;
+    target.started_ms_ = found.started_ms_;
     return target;
 }
 
@@ -162,7 +174,7 @@
     }
     if (const auto reason = rejection_reason(begin)) {
         policy::refuse_attempt(ledger_, key);
-        send_refusal(link, ref, *reason, nullptr, {});
+        send_refusal(link, ref, *reason, find_state(begin), {});
         return;
     }
     const std::optional<local_target> found = find_target(make_admission_view(), begin);
@@ -308,7 +320,7 @@
     }
     const auto outcome = failed ? policy::run_outcome::failed : policy::run_outcome::succeeded;
     if (policy::record_outcome(target.health_, outcome, now)) {
-        broadcast_report(target);
+        record_health_change(target);
     }
 }
 
@@ -367,11 +379,13 @@
         percent *
         policy::decayed_suspicion(target.health_.suspicion_, now - target.health_.updated_at_));
     report.on_trial = target.health_.state_ == policy::health_state::on_trial;
+    report.leaving = is_departing(target);
+    report.started_ms = target.started_ms_;
     return report;
 }
 
 // Records the new health state of a target and sends its report to every connected caller proxy.
-void target_proxy::broadcast_report(const target_state& target) {
+void target_proxy::record_health_change(const target_state& target) {
     const wire::target_report report = make_report(target);
     events_.record(
         loop_.clock().wall_ms(),
@@ -379,8 +393,12 @@
         : report.on_trial ? "target_on_trial"
                           : "target_readmitted",
         {{"target", target.name_}, {"suspicion_percent", std::to_string(report.suspicion)}});
+    broadcast_report(target);
+}
+
+void target_proxy::broadcast_report(const target_state& target) {
     wire::frame frame;
-    frame.__set_report_(report);
+    frame.__set_report_(make_report(target));
     for (auto& [socket, link] : connections_) {
         if (link.handshake_done_) {
             link.socket_->send(frame);
@@ -388,14 +406,58 @@
     }
 }
 
+// Returns the state of the target that an attempt names, or null if there is none yet.
+const target_proxy::target_state* target_proxy::find_state(const wire::attempt_begin& begin) const {
+    const auto found = find_target(make_admission_view(), begin);
+    if (!found) {
+        return nullptr;
+    }
+    const auto state = targets_.find(base::to_string(found->address_));
+    const bool known = state != targets_.end() && state->second.name_ == begin.target_name;
+    return known ? &state->second : nullptr;
+}
+
+bool target_proxy::is_departing(const target_state& target) const {
+    return policy::is_departing(departures_, target.name_, target.started_ms_);
+}
+
+void target_proxy::on_target_response(const target_proxy_attempt& attempt,
+                                      const net::http_response& response) {
+    // A misdirected request, or one to a target that has been replaced since, is answered by
+    // another target than the one that is described here.
+    const bool misdirected =
+        response.status_ == status_misdirected && !headers_.expected_target_.empty();
+    const target_state& target = targets_.at(attempt.target_key());
+    const bool replaced = target.name_ != attempt.begin().target_name;
+    if (!misdirected && !replaced && reports_leaving(headers_, response.headers_)) {
+        record_departure(target);
+    }
+}
+
+// Takes a target that reports that it is leaving out of choice, here and at all caller proxies. The
+// attempts that run on it are completed.
+void target_proxy::record_departure(const target_state& target) {
+    if (!policy::record_departure(departures_, target.name_, target.started_ms_,
+                                  loop_.clock().now())) {
+        return;
+    }
+    events_.record(loop_.clock().wall_ms(), "target_leaving",
+                   {{"target", target.name_},
+                    {"started_ms", std::to_string(target.started_ms_)},
+                    {"waiting", std::to_string(target.queue_.waiting_.size())},
+                    {"running", std::to_string(target.in_flight_)}});
+    broadcast_report(target);
+    refuse_unrunnable_waiting();
+}
+
 // Asks a few randomly selected caller proxies to send an idempotent request to an idle target. A
 // target without traffic may fail or recover unnoticed.
 void target_proxy::request_probe_traffic(target_state& target) {
     const base::instant now = loop_.clock().now();
     const bool due =
         policy::needs_probe(target.idle_state_, target.slots_ - target.in_flight_, now);
-    if (!due || draining_ || target.health_.state_ == policy::health_state::ejected ||
-        connections_.empty()) {
+    if (!due || draining_ || is_departing(target) ||
+        target.health_.state_ == policy::health_state::ejected || connections_.empty()) {
         return;
     }
     target.idle_state_.requested_at_ = now;
@@ -423,7 +485,7 @@
     std::vector<std::string> queued_target_keys;
     for (auto& [key, target] : targets_) {
         if (policy::update_health(target.health_, now)) {
-            broadcast_report(target);
+            record_health_change(target);
         }
         if (!target.queue_.waiting_.empty()) {
             queued_target_keys.push_back(key);
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -41,6 +41,11 @@
     9: bool idle
     // As run_ms, for each kind of run in the order of policy::run_kind; zero where unknown.
     10: list<i32> run_ms_by_kind
+    // The target reported in a response that it is leaving.
+    11: bool leaving
+    // Start of the target, in milliseconds since 1970; zero if unknown. A target of the same name
+    // that was started at another time is another one.
+    12: i64 started_ms
 }
 
 // First frame on a link, from the side that opened it.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -592,6 +592,14 @@
 void target_report::__set_run_ms_by_kind(const std::vector<int32_t> & val) {
   this->run_ms_by_kind = val;
 }
+
+void target_report::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void target_report::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -712,6 +720,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -777,6 +801,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -794,6 +826,8 @@
   swap(a.suspicion, b.suspicion);
   swap(a.idle, b.idle);
   swap(a.run_ms_by_kind, b.run_ms_by_kind);
+  swap(a.leaving, b.leaving);
+  swap(a.started_ms, b.started_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -808,6 +842,8 @@
   suspicion = other18.suspicion;
   idle = other18.idle;
   run_ms_by_kind = other18.run_ms_by_kind;
+  leaving = other18.leaving;
+  started_ms = other18.started_ms;
   __isset = other18.__isset;
 }
 target_report::target_report(target_report&& other19) noexcept {
@@ -821,6 +857,8 @@
   suspicion = other19.suspicion;
   idle = other19.idle;
   run_ms_by_kind = std::move(other19.run_ms_by_kind);
+  leaving = other19.leaving;
+  started_ms = other19.started_ms;
   __isset = other19.__isset;
 }
 target_report& target_report::operator=(const target_report& other20) {
@@ -834,6 +872,8 @@
   suspicion = other20.suspicion;
   idle = other20.idle;
   run_ms_by_kind = other20.run_ms_by_kind;
+  leaving = other20.leaving;
+  started_ms = other20.started_ms;
   __isset = other20.__isset;
   return *this;
 }
@@ -848,6 +888,8 @@
   suspicion = other21.suspicion;
   idle = other21.idle;
   run_ms_by_kind = std::move(other21.run_ms_by_kind);
+  leaving = other21.leaving;
+  started_ms = other21.started_ms;
   __isset = other21.__isset;
   return *this;
 }
@@ -864,6 +906,8 @@
   out << ", " << "suspicion=" << to_string(suspicion);
   out << ", " << "idle=" << to_string(idle);
   out << ", " << "run_ms_by_kind=" << to_string(run_ms_by_kind);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "started_ms=" << to_string(started_ms);
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _target_report__isset {
-  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false) {}
+  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false), leaving(false), started_ms(false) {}
   bool target :1;
   bool running :1;
   bool waiting :1;
@@ -306,6 +306,8 @@
   bool suspicion :1;
   bool idle :1;
   bool run_ms_by_kind :1;
+  bool leaving :1;
+  bool started_ms :1;
 } _target_report__isset;
 
 class target_report : public virtual ::apache::thrift::TBase {
@@ -324,7 +326,9 @@
                   ejected(0),
                   on_trial(0),
                   suspicion(0),
-                  idle(0) {
+                  idle(0),
+                  leaving(0),
+                  started_ms(0) {
   }
 
   virtual ~target_report() noexcept;
@@ -338,6 +342,8 @@
   int32_t suspicion;
   bool idle;
   std::vector<int32_t>  run_ms_by_kind;
+  bool leaving;
+  int64_t started_ms;
 
   _target_report__isset __isset;
 
@@ -361,6 +367,10 @@
 
   void __set_run_ms_by_kind(const std::vector<int32_t> & val);
 
+  void __set_leaving(const bool val);
+
+  void __set_started_ms(const int64_t val);
+
   bool operator == (const target_report & rhs) const
   {
     if (!(target == rhs.target))
@@ -383,6 +393,10 @@
       return false;
     if (!(run_ms_by_kind == rhs.run_ms_by_kind))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
     return true;
   }
   bool operator != (const target_report &rhs) const {
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -20,7 +20,7 @@
     std::vector<config::host_entry> hosts;
     config::host_entry own_host{"10.0.0.1", "z1", {"10.0.0.1", 7000}, leaving, {}};
     for (const std::string& name : names) {
-        own_host.targets_.push_back({name, "orders", {"10.0.0.1", 8080}, 5, false});
+        own_host.targets_.push_back({name, "orders", {"10.0.0.1", 8080}, 5, false, 0});
     }
     if (!names.empty()) {
         hosts.push_back(own_host);
@@ -43,7 +43,8 @@
     const config::rule_set rules;
     std::set<std::string> previously_listed;
     const auto find = [&](const config::hosts_ptr& hosts, const std::string& target) {
-        return find_target({rules, *hosts, settings, {}, previously_listed}, make_attempt(target));
+        return find_target({rules, *hosts, settings, {}, previously_listed, {}},
+                           make_attempt(target));
     };
     const config::hosts_ptr original_list = make_host_list_with({"i-1"}, false);
     record_listed_targets(previously_listed, *original_list, settings.host_);
@@ -62,6 +63,29 @@
     // A request for another service is not accepted on this host.
     wire::attempt_begin other_service_attempt = make_attempt("i-1");
     other_service_attempt.service_name = "archive";
-    CHECK_FALSE(find_target({rules, *original_list, settings, {}, previously_listed},
+    CHECK_FALSE(find_target({rules, *original_list, settings, {}, previously_listed, {}},
                             other_service_attempt));
 }
+
+TEST_CASE("a target that reported that it is leaving is leaving until it is started again",
+          "[node][promise-leaving]") {
+    const config::settings settings = host_settings();
+    const config::rule_set rules;
+    const std::set<std::string> previously_listed;
+    policy::departures departures;
+    policy::record_departure(departures, "i-1", 1000, {});
+    const auto is_leaving = [&](std::int64_t started_ms) {
+        config::host_entry own_host{"10.0.0.1", "z1", {"10.0.0.1", 7000}, false, {}};
+        own_host.targets_.push_back({"i-1", "orders", {"10.0.0.1", 8080}, 5, false, started_ms});
+        const config::hosts_ptr hosts = *config::make_host_list(1, {own_host});
+        return find_target({rules, *hosts, settings, {}, previously_listed, departures},
+                           make_attempt("i-1"))
+            ->leaving_;
+    };
+    CHECK(is_leaving(1000));
+    CHECK_FALSE(is_leaving(2000));
+    const config::host_list unlisted;
+    CHECK(find_target({rules, unlisted, settings, {}, previously_listed, departures},
+                      make_attempt("i-1"))
+              ->leaving_);
+}
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -243,8 +243,11 @@
     const auto make_list = [](const std::vector<std::pair<std::string, bool>>& hosts) {
         std::vector<host_entry> entries;
         for (const auto& [name, leaving] : hosts) {
-            entries.push_back(
-                {name, "z1", {"10.0.0.1", 7000}, leaving, {{"t" + name, "orders", {}, 0, false}}});
+            entries.push_back({name,
+                               "z1",
+                               {"10.0.0.1", 7000},
+                               leaving,
+                               {{"t" + name, "orders", {}, 0, false, 0}}});
         }
         return *make_host_list(1, std::move(entries));
     };
--- a/tests/process_leaving_test.cpp
+++ b/tests/process_leaving_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "support/plans.h"
 #include "support/store_fleet.h"
 
 using namespace dandelionridge::support;
@@ -73,3 +74,72 @@
     CHECK(fleet.log_of(1).find("\"added\":\"i-2\"", log_at_removal) == std::string::npos);
     CHECK(fleet.target(2).total_runs() == runs_at_removal);
 }
+
+// Guards against: requests to a target that had said in its responses that it is leaving, while the
+// platform's list still showed it as ready.
+TEST_CASE("a target that says in a response that it is leaving gets no further requests",
+          "[promise-leaving]") {
+    store_fleet fleet({"orders", "orders", "orders"});
+    fleet.start_all();
+    fleet.set_target(2, {.headers_ = {{"server-leaving", "1"}}});
+    caller caller;
+    int sent = 0;
+    const auto send_through = [&](std::size_t caller_proxy, const std::string& method) {
+        const std::string id = "request-" + std::to_string(sent++);
+        return caller.send(fleet.request_to("orders", caller_proxy, id, method));
+    };
+    REQUIRE(wait_for([&] { return send_through(1, "GET").header("server-leaving") == "1"; }));
+    const std::size_t runs_before = fleet.target(2).total_runs();
+    for (int i = 0; i < 60; ++i) {
+        CHECK(send_through(1, "GET").status_ == 200);
+        CHECK(send_through(1, "POST").status_ == 200);
+    }
+    CHECK(fleet.target(2).total_runs() == runs_before);
+    // The other caller proxies hear of it from its target proxy.
+    REQUIRE(wait_for(
+        [&] { return fleet.log_of(3).find("leaving_target_excluded") != std::string::npos; }));
+    for (int i = 0; i < 60; ++i) {
+        CHECK(send_through(3, "GET").status_ == 200);
+    }
+    CHECK(fleet.target(2).total_runs() == runs_before);
+    SECTION("and gets requests again once it is started anew under its id") {
+        fleet.set_target(2, {});
+        fleet.restart_target(2);
+        fleet.write_entry(2, "ready");
+        REQUIRE(wait_for([&] {
+            send_through(1, "GET");
+            return fleet.target(2).total_runs() > runs_before;
+        }));
+    }
+    SECTION("although its target proxy is killed and started again") {
+        fleet.kill(2);
+        fleet.start(2);
+        REQUIRE(wait_for([&] { return fleet.status_number(1, "/links_open") >= 3; }));
+        for (int i = 0; i < 60; ++i) {
+            CHECK(send_through(1, "GET").status_ == 200);
+        }
+        CHECK(fleet.target(2).total_runs() == runs_before);
+    }
+}
+
+// Guards against: requests that waited for a slot of a target reached it after it had said in a
+// response that it is leaving.
+TEST_CASE("requests that wait for a target when it says that it is leaving go to another one",
+          "[promise-leaving]") {
+    store_fleet fleet({"orders", "orders"}, 1);
+    fleet.start_all();
+    fleet.set_target(1, {.delay_ = std::chrono::milliseconds(300)});
+    fleet.set_target(
+        2, {.delay_ = std::chrono::milliseconds(1500), .headers_ = {{"server-leaving", "1"}}});
+    std::vector<std::future<caller_response>> responses;
+    for (int i = 0; i < 8; ++i) {
+        responses.push_back(send_in_background(
+            fleet.request_to("orders", 1, "order-" + std::to_string(i), "POST")));
+    }
+    REQUIRE(wait_for([&] { return fleet.target(2).total_runs() == 1; }));
+    for (std::future<caller_response>& response : responses) {
+        CHECK(response.get().status_ == 200);
+    }
+    CHECK(fleet.target(2).total_runs() == 1);
+    CHECK(fleet.target(1).total_runs() == 7);
+}
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/store_fleet.h"
 
+#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -47,8 +48,8 @@
 
 }  // namespace
 
-store_fleet::store_fleet(std::vector<std::string> services)
-    : services_(std::move(services)), directory_(make_test_directory()) {
+store_fleet::store_fleet(std::vector<std::string> services, int slots)
+    : services_(std::move(services)), slots_(slots), directory_(make_test_directory()) {
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         stores_.push_back(std::make_unique<store_stub>(store_address(host)));
         store_of(host).put("op/config", configuration());
@@ -86,15 +87,18 @@
 }
 
 std::string store_fleet::entry_value(std::size_t host, const std::string& state) const {
+    constexpr std::int64_t first_start_ms = 1'700'000'000'000;
+    const auto starts = target_starts_.find(host);
+    const std::int64_t restarts = starts == target_starts_.end() ? 0 : starts->second;
     return json{{"service", services_.at(host - 1)},
                 {"address", base::to_string(target_address(host))},
                 {"zone", "z1"},
                 {"version", "v1"},
-                {"slots", 20},
+                {"slots", slots_},
                 {"state", state},
                 {"warmupLeftS", 0},
                 {"seq", entry_sequence_},
-                {"born", 1'700'000'000'000}}
+                {"born", first_start_ms + restarts}}
         .dump();
 }
 
@@ -164,6 +168,11 @@
     wait_until_serving(host);
 }
 
+void store_fleet::kill(std::size_t number) {
+    host(number).send_signal(SIGKILL);
+    host(number).wait();
+}
+
 void store_fleet::start_all() {
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         launch(host);
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -22,7 +22,8 @@
 public:
     // `services` holds the service of each host's target. A service S has the routes
     // S.example/reads/ (idempotent) and S.example/orders/ (non-idempotent).
-    explicit store_fleet(std::vector<std::string> services);
+    // `slots` is the number of slots of each target.
+    explicit store_fleet(std::vector<std::string> services, int slots = 20);
     store_fleet(const store_fleet&) = delete;
     store_fleet& operator=(const store_fleet&) = delete;
     ~store_fleet();
@@ -34,10 +35,16 @@
     // Starts the process of a host and waits until it serves. Throws if it does not within 60 s.
     void start(std::size_t host);
 
+    // Kills the process of a host with SIGKILL.
+    void kill(std::size_t host);
+
     process& host(std::size_t number) { return *processes_.at(number); }
     store_stub& store_of(std::size_t host) { return *stores_.at(host - 1); }
     target_stub& target(std::size_t host) { return *targets_.at(host - 1); }
 
+    // Makes the next entry of a host's target that of a later start of it.
+    void restart_target(std::size_t host) { ++target_starts_[host]; }
+
     // Writes the entry of a host's target, or removes it, in the stores that all hosts read.
     void write_entry(std::size_t host, const std::string& state);
     void remove_entry(std::size_t host);
@@ -68,11 +75,14 @@
     void wait_until_serving(std::size_t host) const;
 
     std::vector<std::string> services_;
+    int slots_;
     std::string directory_;
     // By host, from host 1 on.
     std::vector<std::unique_ptr<store_stub>> stores_;
     std::vector<std::unique_ptr<target_stub>> targets_;
     std::map<std::size_t, std::unique_ptr<process>> processes_;
+    // Number of restarts of each host's target.
+    std::map<std::size_t, std::int64_t> target_starts_;
     // Sequence number of the entry that was written last.
     std::int64_t entry_sequence_ = 0;
 };
