Do not send a request to a leaving target again when its connection closes

Callers saw: nothing of their own; a leaving target got a request a second time, possibly long after it had said that it leaves.

Cause: an idempotent request whose kept connection the target closes is sent once more on a new connection. Whether the target may still get requests was checked only before the first sending, which may be a whole run earlier.

Change: the attempt asks the target proxy again before it is sent again. If the target may not get it, the attempt fails and its caller proxy chooses another target.

--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -72,6 +72,7 @@
                             const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
     void on_wait_expired(target_proxy_attempt& attempt) override;
+    bool may_run(const target_proxy_attempt& attempt) const override;
     wire::target_report make_report_for(const target_proxy_attempt& attempt) override;
 
     // Records that a call made by this host's target while it ran a request has failed. The call
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -104,11 +104,11 @@
 }
 
 // Sends the request once more, on a new connection, if the target had closed the reused connection
-// meanwhile. Only done for a request without a body that is idempotent or was never sent. Returns
-// true if the request was sent again.
+// meanwhile. Only done for a request without a body that is idempotent or was never sent, and only
+// while the target may get requests. Returns true if the request was sent again.
 bool target_proxy_attempt::retry_on_new_connection(net::client_failure failure) {
     const bool safe = failure == net::client_failure::never_sent || begin_.idempotent;
-    if (!request_->reused() || retried_ || !safe || has_request_body()) {
+    if (!request_->reused() || retried_ || !safe || has_request_body() || !owner_.may_run(*this)) {
         return false;
     }
     retried_ = true;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -271,6 +271,10 @@
     refuse(attempt, wire::refusal_reason::deadline);
 }
 
+bool target_proxy::may_run(const target_proxy_attempt& attempt) const {
+    return !run_rejection_reason(attempt.begin());
+}
+
 void target_proxy::remove_from_queue(target_proxy_attempt& attempt) {
     policy::remove(targets_[attempt.target_key()].queue_, attempt.queue_id());
     waiting_.erase(attempt.queue_id());
--- a/tests/process_leaving_test.cpp
+++ b/tests/process_leaving_test.cpp
@@ -143,3 +143,37 @@
     CHECK(fleet.target(2).total_runs() == 1);
     CHECK(fleet.target(1).total_runs() == 7);
 }
+
+// Guards against: a request reached a leaving target a second time, because the target proxy sent
+// it again when the target had closed the kept connection that carried it.
+TEST_CASE("a request whose connection a leaving target closes goes to another target",
+          "[promise-leaving]") {
+    store_fleet fleet({"orders", "orders"});
+    fleet.start_all();
+    caller caller;
+    int sent = 0;
+    // The target proxies keep the connections that carried these requests.
+    REQUIRE(wait_for([&] {
+        caller.send(fleet.request_to("orders", 1, "first-" + std::to_string(sent++), "GET"));
+        return fleet.target(2).total_runs() >= 1 && fleet.target(1).total_runs() >= 1;
+    }));
+    const std::size_t runs_before = fleet.target(2).total_runs();
+    fleet.set_target(
+        2, {.mode_ = target_mode::close_after_run, .delay_ = std::chrono::milliseconds(1500)});
+    std::vector<std::future<caller_response>> responses;
+    REQUIRE(wait_for([&] {
+        const std::string id = "read-" + std::to_string(responses.size());
+        responses.push_back(send_in_background(fleet.request_to("orders", 1, id, "GET")));
+        return fleet.target(2).total_runs() > runs_before;
+    }));
+    fleet.write_entry(2, "draining");
+    REQUIRE(
+        wait_for([&] { return fleet.log_of(2).find("\"leaving\":\"i-2\"") != std::string::npos; }));
+    for (std::future<caller_response>& response : responses) {
+        CHECK(response.get().status_ == 200);
+    }
+    for (const auto& [id, runs] : fleet.target(2).runs()) {
+        INFO(id);
+        CHECK(runs == 1);
+    }
+}
