--- a/src/config/header_policy.h
+++ b/src/config/header_policy.h
@@ -27,6 +27,9 @@
     std::string not_run_;
     // Response header by which the target reports, with the value "1", that it is leaving.
     std::string leaving_ = "x-target-leaving";
+    // Response header by which the target names the number of requests per second, a decimal number,
+    // that it takes from the whole fleet. Applies until a response lacks it.
+    std::string rate_limit_ = "x-target-rate-limit";
     // Retry-After may contain fractions of a second; otherwise it is rounded up to whole seconds.
     bool fractional_retry_after_ = false;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -451,7 +451,7 @@
 
 std::string node::render_metrics() const {
     const target_proxy_counters& counters = target_proxy_->counters();
-    return metrics_.render({
+    std::vector<observe::gauge> gauges = {
         {"dandelionridge_rules_version",
          static_cast<double>(configuration_.version(control::config_value_kind::rules))},
         {"dandelionridge_hosts_version",
@@ -459,7 +459,11 @@
         {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
         {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
         {"dandelionridge_links", static_cast<double>(links_->size())},
-    });
+    };
+    if (const auto limit = target_proxy_->rate_limit()) {
+        gauges.push_back({"dandelionridge_target_rate_limit_per_second", *limit});
+    }
+    return metrics_.render(gauges);
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/reported_state.h
+++ b/src/node/reported_state.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 
+#include "base/error.h"
 #include "config/header_policy.h"
 #include "net/http_types.h"
 #include "wire/gen/fleet_types.h"
@@ -32,4 +34,13 @@
     });
 }
 
+// Returns the number of requests per second that a target takes according to its response, or
+// nothing if the response names no limit. Returns a protocol error if the header does not hold a
+// decimal number of at least 0.
+base::result<std::optional<double>> reported_rate_limit(const config::header_policy& names,
+                                                        const net::http_response& response);
+
+// Returns true if a response is from the target that its request was meant for.
+bool describes_target(const config::header_policy& names, const net::http_response& response);
+
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -30,6 +30,7 @@
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
 #include "policy/target_health.h"
+#include "policy/target_rate.h"
 
 namespace dandelionridge::node {
 
@@ -88,6 +89,10 @@
     // their request; 0 if nothing runs.
     double repeat_share() const;
 
+    // Returns the number of requests per second that this host's targets take together; nothing if
+    // none of them names a limit.
+    std::optional<double> rate_limit() const;
+
     // Returns the number of connections to targets opened so far.
     std::uint64_t connections_opened() const;
 
@@ -110,6 +115,9 @@
         policy::slot_queue queue_;
         policy::target_health health_;
         policy::run_estimates run_estimates_;
+        policy::target_rate rate_;
+        // The last response named a limit that could not be read.
+        bool rate_limit_rejected_ = false;
         int in_flight_ = 0;
         int slots_ = 1;
         policy::idle_target idle_state_;
@@ -159,6 +167,8 @@
     wire::target_report make_report(const target_state& target) const;
     void record_health_change(const target_state& target);
     void record_departure(const target_state& target);
+    void record_rate_limit(target_state& target, const net::http_response& response);
+    void on_rate_limit_changed(const target_state& target, const char* source);
     void broadcast_report(const target_state& target);
     bool is_departing(const target_state& target) const;
     const target_state* find_state(const wire::attempt_begin& begin) const;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -19,8 +19,6 @@
 // this many times the expected duration.
 constexpr int hung_run_factor = 3;
 constexpr int min_server_error_status = 500;
-// Status with which a target rejects a request that is meant for another target.
-constexpr int status_misdirected = 421;
 constexpr double percent = 100;
 // Maximum number of caller proxies that are asked at a time for a request to an idle target.
 constexpr std::size_t max_probe_requests = 10;
@@ -410,6 +408,32 @@
     }
 }
 
+// Applies the limit on the rate of requests that a target names in a response, or ends it.
+void target_proxy::record_rate_limit(target_state& target, const net::http_response& response) {
+    const auto limit = reported_rate_limit(headers_, response);
+    if (!limit) {
+        if (!std::exchange(target.rate_limit_rejected_, true)) {
+            events_.record(loop_.clock().wall_ms(), "target_rate_limit_rejected",
+                           {{"target", target.name_}, {"error", limit.error().message_}});
+        }
+        return;
+    }
+    target.rate_limit_rejected_ = false;
+    if (policy::apply_response(target.rate_, *limit, loop_.clock().now())) {
+        on_rate_limit_changed(target, "response");
+    }
+}
+
+// Records a new limit, or the end of one.
+void target_proxy::on_rate_limit_changed(const target_state& target, const char* source) {
+    events_.record(loop_.clock().wall_ms(), "target_rate_limit",
+                   {{"target", target.name_},
+                    {"source", source},
+                    {"per_s", target.rate_.limit_ ? std::to_string(*target.rate_.limit_) : "none"},
+                    {"waiting", std::to_string(target.queue_.waiting_.size())},
+                    {"running", std::to_string(target.in_flight_)}});
+}
+
 // Returns the state of the target that an attempt names, or null if there is none yet.
 const target_proxy::target_state* target_proxy::find_state(const wire::attempt_begin& begin) const {
     const auto found = find_target(make_admission_view(), begin);
@@ -427,15 +451,15 @@
 
 void target_proxy::on_target_response(const target_proxy_attempt& attempt,
                                       const net::http_response& response) {
-    // A misdirected request, or one to a target that has been replaced since, is answered by
-    // another target than the one that is described here.
-    const bool misdirected =
-        response.status_ == status_misdirected && !headers_.expected_target_.empty();
-    const target_state& target = targets_.at(attempt.target_key());
+    target_state& target = targets_.at(attempt.target_key());
     const bool replaced = target.name_ != attempt.begin().target_name;
-    if (!misdirected && !replaced && reports_leaving(headers_, response.headers_)) {
+    if (replaced || !describes_target(headers_, response)) {
+        return;
+    }
+    if (reports_leaving(headers_, response.headers_)) {
         record_departure(target);
     }
+    record_rate_limit(target, response);
 }
 
 // Takes a target that reports that it is leaving out of choice, here and at all caller proxies. The
@@ -512,6 +536,16 @@
     return running > 0 ? repeats / running : 0;
 }
 
+std::optional<double> target_proxy::rate_limit() const {
+    std::optional<double> total;
+    for (const auto& [key, target] : targets_) {
+        if (target.rate_.limit_) {
+            total = total.value_or(0) + *target.rate_.limit_;
+        }
+    }
+    return total;
+}
+
 std::uint64_t target_proxy::connections_opened() const {
     std::uint64_t opened = 0;
     for (const auto& [key, target] : targets_) {
