Keep a target to the rate of requests that it names in its responses

Callers saw: requests that a target in need rejected or served late; the target got 45 requests in 4 s where its limit allowed 30.

Cause: the header was forwarded and not read; the target proxy knew slots only. A target proxy that was started again would also not know the rate for one whole run.

Change: the target proxy, the only way to its target, sends by a token bucket of the rate named (half a second of burst, at least one; never below 0.5 a second, since only a response ends the limit). Requests wait in the slot queue in their order; those that the rate makes late are refused at once, on arrival and whenever the queue is served, with the time until their turn. A resend on a new connection uses a token too. Reports carry the rate, caller proxies count only the slots that it can keep busy, and pass it on with each attempt, so that a restarted target proxy applies it until the target's first response. Both fields are optional and ignored by older programs. Why this works: one process counts all requests to the target, whatever the caller proxies know.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -247,6 +247,10 @@
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
     begin.repeat = attempts_ > 0;
+    const target_view* view = owner_.views_.find(begin.target_name);
+    if (view != nullptr && view->report_.__isset.rate_limit) {
+        begin.__set_target_rate_limit(view->report_.rate_limit);
+    }
     const base::duration objective = context_.route_->latency_objective_;
     if (objective > base::duration::zero()) {
         const auto remaining_ms =
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -7,6 +7,7 @@
 #include "node/call.h"
 #include "node/departure_expiry.h"
 #include "policy/target_health.h"
+#include "policy/target_rate.h"
 
 namespace dandelionridge::node {
 
@@ -185,6 +186,10 @@
             policy::decayed_suspicion(view->report_.suspicion / percent, candidate.report_age_);
         candidate.needs_probe_ = view->report_.idle && candidate.report_age_ < max_idle_report_age;
         candidate.ejected_ = view->report_.ejected;
+        if (view->report_.__isset.rate_limit) {
+            candidate.slots_ = policy::usable_slots(view->report_.rate_limit, candidate.slots_,
+                                                    candidate.run_duration_);
+        }
         candidate.on_trial_ = view->report_.on_trial;
     }
     return candidate;
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -73,7 +73,7 @@
                             const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
     void on_wait_expired(target_proxy_attempt& attempt) override;
-    bool may_run(const target_proxy_attempt& attempt) const override;
+    bool claim_resend(const target_proxy_attempt& attempt) override;
     wire::target_report make_report_for(const target_proxy_attempt& attempt) override;
 
     // Records that a call made by this host's target while it ran a request has failed. The call
@@ -169,6 +169,8 @@
     void record_departure(const target_state& target);
     void record_rate_limit(target_state& target, const net::http_response& response);
     void on_rate_limit_changed(const target_state& target, const char* source);
+    base::duration expected_wait(target_state& target, const policy::waiting_request& waiting);
+    void refuse_late(target_state& target);
     void broadcast_report(const target_state& target);
     bool is_departing(const target_state& target) const;
     const target_state* find_state(const wire::attempt_begin& begin) const;
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -108,7 +108,8 @@
 // while the target may get requests. Returns true if the request was sent again.
 bool target_proxy_attempt::retry_on_new_connection(net::client_failure failure) {
     const bool safe = failure == net::client_failure::never_sent || begin_.idempotent;
-    if (!request_->reused() || retried_ || !safe || has_request_body() || !owner_.may_run(*this)) {
+    if (!request_->reused() || retried_ || !safe || has_request_body() ||
+        !owner_.claim_resend(*this)) {
         return false;
     }
     retried_ = true;
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -67,8 +67,8 @@
     // Called when the deadline passed while the attempt waited for a slot.
     virtual void on_wait_expired(target_proxy_attempt& attempt) = 0;
 
-    // Returns true if the attempt may be sent to its target now.
-    virtual bool may_run(const target_proxy_attempt& attempt) const = 0;
+    // Returns true if the attempt may be sent to its target once more now, and counts it as sent.
+    virtual bool claim_resend(const target_proxy_attempt& attempt) = 0;
 
     // Returns the current report on the attempt's target.
     virtual wire::target_report make_report_for(const target_proxy_attempt& attempt) = 0;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -84,20 +84,30 @@
     if (!begin.allow_ejected && !policy::accepts(target.health_, begin.idempotent, now)) {
         return wire::refusal_reason::target_ejected;
     }
-    if (target.in_flight_ < target.slots_ && target.queue_.waiting_.empty()) {
+    if (target.in_flight_ < target.slots_ && target.queue_.waiting_.empty() &&
+        policy::may_send(target.rate_, now)) {
         return std::nullopt;
     }
     if (!begin.may_wait) {
         return wire::refusal_reason::target_busy;
     }
-    const base::duration wait = policy::expected_wait(target.queue_, waiting, target.slots_,
-                                                      target.run_estimates_.overall_, now);
-    if (waiting.deadline_at_ - now < wait + waiting.run_duration_) {
+    if (waiting.deadline_at_ - now < expected_wait(target, waiting) + waiting.run_duration_) {
         return wire::refusal_reason::overload;
     }
     return std::nullopt;
 }
 
+// Returns the expected time until a newly arrived request is sent to the target: until a slot is
+// free and the target's rate allows it.
+base::duration target_proxy::expected_wait(target_state& target,
+                                           const policy::waiting_request& waiting) {
+    const base::instant now = loop_.clock().now();
+    const base::duration slot_wait = policy::expected_wait(target.queue_, waiting, target.slots_,
+                                                           target.run_estimates_.overall_, now);
+    const std::size_t ahead = policy::count_ahead(target.queue_, waiting, now);
+    return std::max(slot_wait, policy::rate_wait(target.rate_, ahead, now));
+}
+
 void target_proxy::send_refusal(connection& link, const wire::attempt_ref& attempt,
                                 wire::refusal_reason reason, const target_state* target,
                                 base::duration retry_after) {
@@ -125,8 +135,13 @@
         target.name_ = name;
         target.health_ = {};
         target.run_estimates_ = {};
+        target.rate_ = {};
         target.pool_->clear();
     }
+    if (target.started_ms_ != 0 && found.started_ms_ > target.started_ms_) {
+        // The target was started again and has not named a limit yet.
+        target.rate_ = {};
+    }
     target.slots_ = found.slots_;
     target.started_ms_ = found.started_ms_;
     return target;
@@ -177,12 +192,14 @@
     }
     const std::optional<local_target> found = find_target(make_admission_view(), begin);
     target_state& target = find_or_add_target(*found, begin.target_name);
+    if (begin.__isset.target_rate_limit &&
+        policy::apply_hint(target.rate_, begin.target_rate_limit, loop_.clock().now())) {
+        on_rate_limit_changed(target, "caller_proxy");
+    }
     policy::waiting_request waiting = make_waiting_request(target, begin);
     if (const auto reason = target_rejection_reason(target, waiting, begin)) {
         policy::refuse_attempt(ledger_, key);
-        send_refusal(link, ref, *reason, &target,
-                     policy::expected_wait(target.queue_, waiting, target.slots_,
-                                           target.run_estimates_.overall_, loop_.clock().now()));
+        send_refusal(link, ref, *reason, &target, expected_wait(target, waiting));
         return;
     }
     enqueue(base::to_string(found->address_), key, std::move(waiting), std::move(begin));
@@ -201,18 +218,29 @@
     dispatch_waiting(target_key);
 }
 
-// Refuses queued attempts that cannot end before their deadline, and fills the free slots of a
-// target from its queue.
-void target_proxy::dispatch_waiting(const std::string& target_key) {
-    target_state& state = targets_[target_key];
+// Refuses queued attempts that cannot end before their deadline.
+void target_proxy::refuse_late(target_state& target) {
     const base::instant now = loop_.clock().now();
-    for (const std::uint64_t id : policy::remove_infeasible(state.queue_, now)) {
+    const auto rate_wait_of = [&](std::size_t ahead) {
+        return policy::rate_wait(target.rate_, ahead, now);
+    };
+    const std::vector<std::uint64_t> late =
+        target.rate_.limit_ ? policy::remove_late(target.queue_, rate_wait_of, now)
+                            : policy::remove_infeasible(target.queue_, now);
+    for (const std::uint64_t id : late) {
         const auto key = waiting_.find(id);
         target_proxy_attempt& attempt = *attempts_.at(key->second);
         waiting_.erase(key);
         refuse(attempt, wire::refusal_reason::deadline);
     }
-    while (state.in_flight_ < state.slots_) {
+}
+
+// Sends as many queued attempts to a target as it has free slots and its rate allows.
+void target_proxy::dispatch_waiting(const std::string& target_key) {
+    target_state& state = targets_[target_key];
+    refuse_late(state);
+    const base::instant now = loop_.clock().now();
+    while (state.in_flight_ < state.slots_ && policy::may_send(state.rate_, now)) {
         const auto next = policy::pop(state.queue_, now);
         if (!next) {
             return;
@@ -240,6 +268,7 @@
     ++counters_.started_;
     target_state& state = targets_[target_key];
     ++state.in_flight_;
+    policy::record_sent(state.rate_, loop_.clock().now());
     state.idle_state_.last_run_at_ = loop_.clock().now();
     policy::begin_trial(state.health_);
     attempt.run(*state.pool_);
@@ -269,8 +298,14 @@
     refuse(attempt, wire::refusal_reason::deadline);
 }
 
-bool target_proxy::may_run(const target_proxy_attempt& attempt) const {
-    return !run_rejection_reason(attempt.begin());
+bool target_proxy::claim_resend(const target_proxy_attempt& attempt) {
+    policy::target_rate& rate = targets_.at(attempt.target_key()).rate_;
+    const base::instant now = loop_.clock().now();
+    if (run_rejection_reason(attempt.begin()) || !policy::may_send(rate, now)) {
+        return false;
+    }
+    policy::record_sent(rate, now);
+    return true;
 }
 
 void target_proxy::remove_from_queue(target_proxy_attempt& attempt) {
@@ -383,6 +418,9 @@
     report.on_trial = target.health_.state_ == policy::health_state::on_trial;
     report.leaving = is_departing(target);
     report.started_ms = target.started_ms_;
+    if (target.rate_.limit_) {
+        report.__set_rate_limit(*target.rate_.limit_);
+    }
     return report;
 }
 
@@ -424,7 +462,7 @@
     }
 }
 
-// Records a new limit, or the end of one.
+// Records a new limit, or the end of one, and tells all caller proxies.
 void target_proxy::on_rate_limit_changed(const target_state& target, const char* source) {
     events_.record(loop_.clock().wall_ms(), "target_rate_limit",
                    {{"target", target.name_},
@@ -432,6 +470,7 @@
                     {"per_s", target.rate_.limit_ ? std::to_string(*target.rate_.limit_) : "none"},
                     {"waiting", std::to_string(target.queue_.waiting_.size())},
                     {"running", std::to_string(target.in_flight_)}});
+    broadcast_report(target);
 }
 
 // Returns the state of the target that an attempt names, or null if there is none yet.
--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -93,14 +93,40 @@
     return removed;
 }
 
-base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
-                             base::duration run, base::instant now) {
+std::vector<std::uint64_t> remove_late(slot_queue& queue,
+                                       const std::function<base::duration(std::size_t)>& wait_of,
+                                       base::instant now) {
+    std::sort(queue.waiting_.begin(), queue.waiting_.end(),
+              [&](const waiting_request& left, const waiting_request& right) {
+                  return sort_key(queue, left, now) < sort_key(queue, right, now);
+              });
+    std::vector<std::uint64_t> removed;
+    std::size_t ahead = 0;
+    std::erase_if(queue.waiting_, [&](const waiting_request& request) {
+        const bool late = request.deadline_at_ - now < wait_of(ahead) + request.run_duration_;
+        if (late) {
+            removed.push_back(request.id_);
+        } else {
+            ++ahead;
+        }
+        return late;
+    });
+    return removed;
+}
+
+std::size_t count_ahead(const slot_queue& queue, const waiting_request& request,
+                        base::instant now) {
     const auto rank = std::tuple(priority_class(request, now), request.priority_);
-    const auto ahead = std::count_if(
+    return static_cast<std::size_t>(std::count_if(
         queue.waiting_.begin(), queue.waiting_.end(), [&](const waiting_request& other) {
             return std::tuple(priority_class(other, now), other.priority_) <= rank;
-        });
-    return run * (ahead + 1) / std::max(1, slots);
+        }));
+}
+
+base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
+                             base::duration run, base::instant now) {
+    const auto served_with = static_cast<std::int64_t>(count_ahead(queue, request, now)) + 1;
+    return run * served_with / std::max(1, slots);
 }
 
 }  // namespace dandelionridge::policy
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -6,7 +6,9 @@
 // classes the order is by priority, then fair between organisations, then by arrival.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -53,6 +55,15 @@
 // Removes the requests that can no longer end before their deadline, and returns their ids.
 std::vector<std::uint64_t> remove_infeasible(slot_queue& queue, base::instant now);
 
+// Removes the requests that cannot end before their deadline if the n-th request to be served,
+// counted from 0, waits for `wait_of(n)`, and returns their ids.
+std::vector<std::uint64_t> remove_late(slot_queue& queue,
+                                       const std::function<base::duration(std::size_t)>& wait_of,
+                                       base::instant now);
+
+// Returns the number of waiting requests that are served before a newly arrived one.
+std::size_t count_ahead(const slot_queue& queue, const waiting_request& request, base::instant now);
+
 // Returns the expected time until a newly arrived request gets a slot, behind those that go before
 // it, where `slots` requests run at a time and each takes `run`.
 base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
--- a/src/policy/target_rate.cpp
+++ b/src/policy/target_rate.cpp
@@ -23,16 +23,18 @@
     if (limit == rate.limit_) {
         return false;
     }
-    const bool had_limit = rate.limit_.has_value();
+    const bool first_limit = rate.bucket_.burst_ == 0;
     rate.limit_ = limit;
     if (!limit) {
         return true;
     }
     const std::int64_t burst = burst_of(*limit);
-    if (!had_limit) {
+    if (first_limit) {
         rate.bucket_ = make_bucket(*limit, burst, now);
         return true;
     }
+    // Tokens that were used under an earlier limit stay used, so that a limit that comes and goes
+    // gives no further burst.
     refill(rate.bucket_, static_cast<double>(burst), now);
     rate.bucket_.rate_ = *limit;
     rate.bucket_.burst_ = burst;
@@ -75,7 +77,7 @@
 }
 
 int usable_slots(std::optional<double> limit, int slots, base::duration run) {
-    if (!limit) {
+    if (!limit || run == base::duration::zero()) {
         return slots;
     }
     const double busy_slots = std::round(*limit * seconds_of(run));
--- a/src/policy/target_rate.h
+++ b/src/policy/target_rate.h
@@ -48,7 +48,7 @@
 base::duration rate_wait(target_rate& rate, std::size_t ahead, base::instant now);
 
 // Returns the number of requests that run at a time on a target, out of its `slots`, if it gets
-// requests at the limit and each takes `run`; at least 1.
+// requests at the limit and each takes `run`, zero if unknown; at least 1.
 int usable_slots(std::optional<double> limit, int slots, base::duration run);
 
 }  // namespace dandelionridge::policy
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -46,6 +46,8 @@
     // Start of the target, in milliseconds since 1970; zero if unknown. A target of the same name
     // that was started at another time is another one.
     12: i64 started_ms
+    // Requests per second that the target takes from the whole fleet, if it names a limit.
+    13: optional double rate_limit
 }
 
 // First frame on a link, from the side that opened it.
@@ -105,6 +107,9 @@
     22: bool download
     // The request was sent to another target before.
     23: bool repeat
+    // Rate limit of the target according to the report that the caller proxy received last. A target
+    // proxy that was restarted applies it until the target's first response.
+    24: optional double target_rate_limit
 }
 
 struct body_part {
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -600,6 +600,11 @@
 void target_report::__set_started_ms(const int64_t val) {
   this->started_ms = val;
 }
+
+void target_report::__set_rate_limit(const double val) {
+  this->rate_limit = val;
+__isset.rate_limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const target_report& obj)
 {
   obj.printTo(out);
@@ -736,6 +741,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate_limit);
+          this->__isset.rate_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -809,6 +822,11 @@
   xfer += oprot->writeI64(this->started_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rate_limit) {
+    xfer += oprot->writeFieldBegin("rate_limit", ::apache::thrift::protocol::T_DOUBLE, 13);
+    xfer += oprot->writeDouble(this->rate_limit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -828,6 +846,7 @@
   swap(a.run_ms_by_kind, b.run_ms_by_kind);
   swap(a.leaving, b.leaving);
   swap(a.started_ms, b.started_ms);
+  swap(a.rate_limit, b.rate_limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -844,6 +863,7 @@
   run_ms_by_kind = other18.run_ms_by_kind;
   leaving = other18.leaving;
   started_ms = other18.started_ms;
+  rate_limit = other18.rate_limit;
   __isset = other18.__isset;
 }
 target_report::target_report(target_report&& other19) noexcept {
@@ -859,6 +879,7 @@
   run_ms_by_kind = std::move(other19.run_ms_by_kind);
   leaving = other19.leaving;
   started_ms = other19.started_ms;
+  rate_limit = other19.rate_limit;
   __isset = other19.__isset;
 }
 target_report& target_report::operator=(const target_report& other20) {
@@ -874,6 +895,7 @@
   run_ms_by_kind = other20.run_ms_by_kind;
   leaving = other20.leaving;
   started_ms = other20.started_ms;
+  rate_limit = other20.rate_limit;
   __isset = other20.__isset;
   return *this;
 }
@@ -890,6 +912,7 @@
   run_ms_by_kind = std::move(other21.run_ms_by_kind);
   leaving = other21.leaving;
   started_ms = other21.started_ms;
+  rate_limit = other21.rate_limit;
   __isset = other21.__isset;
   return *this;
 }
@@ -908,6 +931,7 @@
   out << ", " << "run_ms_by_kind=" << to_string(run_ms_by_kind);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "rate_limit="; (__isset.rate_limit ? (out << to_string(rate_limit)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1410,6 +1434,11 @@
 void attempt_begin::__set_repeat(const bool val) {
   this->repeat = val;
 }
+
+void attempt_begin::__set_target_rate_limit(const double val) {
+  this->target_rate_limit = val;
+__isset.target_rate_limit = true;
+}
 std::ostream& operator<<(std::ostream& out, const attempt_begin& obj)
 {
   obj.printTo(out);
@@ -1634,6 +1663,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->target_rate_limit);
+          this->__isset.target_rate_limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1752,6 +1789,11 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.target_rate_limit) {
+    xfer += oprot->writeFieldBegin("target_rate_limit", ::apache::thrift::protocol::T_DOUBLE, 24);
+    xfer += oprot->writeDouble(this->target_rate_limit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1782,6 +1824,7 @@
   swap(a.chunked_body, b.chunked_body);
   swap(a.download, b.download);
   swap(a.repeat, b.repeat);
+  swap(a.target_rate_limit, b.target_rate_limit);
   swap(a.__isset, b.__isset);
 }
 
@@ -1809,6 +1852,7 @@
   chunked_body = other36.chunked_body;
   download = other36.download;
   repeat = other36.repeat;
+  target_rate_limit = other36.target_rate_limit;
   __isset = other36.__isset;
 }
 attempt_begin::attempt_begin(attempt_begin&& other37) noexcept {
@@ -1835,6 +1879,7 @@
   chunked_body = other37.chunked_body;
   download = other37.download;
   repeat = other37.repeat;
+  target_rate_limit = other37.target_rate_limit;
   __isset = other37.__isset;
 }
 attempt_begin& attempt_begin::operator=(const attempt_begin& other38) {
@@ -1861,6 +1906,7 @@
   chunked_body = other38.chunked_body;
   download = other38.download;
   repeat = other38.repeat;
+  target_rate_limit = other38.target_rate_limit;
   __isset = other38.__isset;
   return *this;
 }
@@ -1888,6 +1934,7 @@
   chunked_body = other39.chunked_body;
   download = other39.download;
   repeat = other39.repeat;
+  target_rate_limit = other39.target_rate_limit;
   __isset = other39.__isset;
   return *this;
 }
@@ -1917,6 +1964,7 @@
   out << ", " << "chunked_body=" << to_string(chunked_body);
   out << ", " << "download=" << to_string(download);
   out << ", " << "repeat=" << to_string(repeat);
+  out << ", " << "target_rate_limit="; (__isset.target_rate_limit ? (out << to_string(target_rate_limit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -295,7 +295,7 @@
 std::ostream& operator<<(std::ostream& out, const header_field& obj);
 
 typedef struct _target_report__isset {
-  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false), leaving(false), started_ms(false) {}
+  _target_report__isset() : target(false), running(false), waiting(false), slots(false), run_ms(false), ejected(false), on_trial(false), suspicion(false), idle(false), run_ms_by_kind(false), leaving(false), started_ms(false), rate_limit(false) {}
   bool target :1;
   bool running :1;
   bool waiting :1;
@@ -308,6 +308,7 @@
   bool run_ms_by_kind :1;
   bool leaving :1;
   bool started_ms :1;
+  bool rate_limit :1;
 } _target_report__isset;
 
 class target_report : public virtual ::apache::thrift::TBase {
@@ -328,7 +329,8 @@
                   suspicion(0),
                   idle(0),
                   leaving(0),
-                  started_ms(0) {
+                  started_ms(0),
+                  rate_limit(0) {
   }
 
   virtual ~target_report() noexcept;
@@ -344,6 +346,7 @@
   std::vector<int32_t>  run_ms_by_kind;
   bool leaving;
   int64_t started_ms;
+  double rate_limit;
 
   _target_report__isset __isset;
 
@@ -371,6 +374,8 @@
 
   void __set_started_ms(const int64_t val);
 
+  void __set_rate_limit(const double val);
+
   bool operator == (const target_report & rhs) const
   {
     if (!(target == rhs.target))
@@ -397,6 +402,10 @@
       return false;
     if (!(started_ms == rhs.started_ms))
       return false;
+    if (__isset.rate_limit != rhs.__isset.rate_limit)
+      return false;
+    else if (__isset.rate_limit && !(rate_limit == rhs.rate_limit))
+      return false;
     return true;
   }
   bool operator != (const target_report &rhs) const {
@@ -568,7 +577,7 @@
 std::ostream& operator<<(std::ostream& out, const welcome& obj);
 
 typedef struct _attempt_begin__isset {
-  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false), repeat(false) {}
+  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false), repeat(false), target_rate_limit(false) {}
   bool attempt :1;
   bool guard_boot :1;
   bool request_id :1;
@@ -592,6 +601,7 @@
   bool chunked_body :1;
   bool download :1;
   bool repeat :1;
+  bool target_rate_limit :1;
 } _attempt_begin__isset;
 
 class attempt_begin : public virtual ::apache::thrift::TBase {
@@ -622,7 +632,8 @@
                   allow_ejected(0),
                   chunked_body(0),
                   download(0),
-                  repeat(0) {
+                  repeat(0),
+                  target_rate_limit(0) {
   }
 
   virtual ~attempt_begin() noexcept;
@@ -649,6 +660,7 @@
   bool chunked_body;
   bool download;
   bool repeat;
+  double target_rate_limit;
 
   _attempt_begin__isset __isset;
 
@@ -698,6 +710,8 @@
 
   void __set_repeat(const bool val);
 
+  void __set_target_rate_limit(const double val);
+
   bool operator == (const attempt_begin & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -748,6 +762,10 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
+    if (__isset.target_rate_limit != rhs.__isset.target_rate_limit)
+      return false;
+    else if (__isset.target_rate_limit && !(target_rate_limit == rhs.target_rate_limit))
+      return false;
     return true;
   }
   bool operator != (const attempt_begin &rhs) const {
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -240,6 +240,11 @@
     return total;
 }
 
+std::vector<base::instant> target_stub::run_times() const {
+    const std::lock_guard lock(mutex_);
+    return run_times_;
+}
+
 std::string target_stub::transcript() const {
     const std::lock_guard lock(mutex_);
     return transcript_;
@@ -248,6 +253,7 @@
 void target_stub::record_run(const std::string& request_id) {
     const std::lock_guard lock(mutex_);
     ++runs_[request_id];
+    run_times_.push_back(thread_.loop().clock().now());
 }
 
 void target_stub::record_text(const std::string& text) {
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -65,6 +65,8 @@
     std::map<std::string, int> runs() const;
     // Returns the number of runs of all requests.
     std::size_t total_runs() const;
+    // Returns the times at which runs started, in order.
+    std::vector<base::instant> run_times() const;
     // The highest number of requests in flight at the same time.
     std::size_t max_in_flight() const { return max_in_flight_; }
 
@@ -82,6 +84,7 @@
     std::string name_;
     mutable std::mutex mutex_;
     std::map<std::string, int> runs_;
+    std::vector<base::instant> run_times_;
     std::string transcript_;
     target_behaviour behaviour_;
     std::atomic<std::size_t> in_flight_ = 0;
