Take a refusal that names no request for no answer to one

Callers saw: "not run, try again" about an order that the target had run, or the order ran at a second target.

Cause: a target repeats the ID of a request in each response, but a response without an ID was taken for the answer to the request that waited. So a refusal that a faulty target wrote once more on a kept connection, without the ID, made the target proxy report the attempt as not run, and the caller proxy sent it to another target. An earlier refusal with its ID was skipped before.

Change: on the users' platform, a response without the ID ends the run as invalid, and nothing that it says of its target is believed. The size bound that nothing used is gone. The ID's header name stands in one place.

--- a/src/config/header_policy.h
+++ b/src/config/header_policy.h
@@ -30,6 +30,9 @@
     // Response header by which the target names the number of requests per second, a decimal number,
     // that it takes from the whole fleet. Applies until a response lacks it.
     std::string rate_limit_ = "x-target-rate-limit";
+    // Targets repeat the x-request-id of a request in their response. A response without it belongs
+    // to no request.
+    bool echoes_request_id_ = false;
     // Retry-After may contain fractions of a second; otherwise it is rounded up to whole seconds.
     bool fractional_retry_after_ = false;
 };
--- a/src/node/reported_state.cpp
+++ b/src/node/reported_state.cpp
@@ -31,7 +31,11 @@
 }
 
 bool describes_target(const config::header_policy& names, const net::http_response& response) {
-    return response.status_ != status_misdirected || names.expected_target_.empty();
+    const bool misdirected =
+        response.status_ == status_misdirected && !names.expected_target_.empty();
+    const bool has_request_id =
+        net::find_header(response.headers_, net::request_id_header) != nullptr;
+    return !misdirected && (has_request_id || !names.echoes_request_id_);
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/reported_state.h
+++ b/src/node/reported_state.h
@@ -40,7 +40,8 @@
 base::result<std::optional<double>> reported_rate_limit(const config::header_policy& names,
                                                         const net::http_response& response);
 
-// Returns true if a response is from the target that its request was meant for.
+// Returns true if a response is from the target that its request was meant for, and belongs to that
+// request. The HTTP client has skipped the responses with the ID of another request.
 bool describes_target(const config::header_policy& names, const net::http_response& response);
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -1,5 +1,6 @@
 #include "node/target_proxy_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/http_writer.h"
@@ -78,7 +79,7 @@
         }
     };
     const auto remaining_ms = base::whole_ms(deadline_ - loop_.clock().now());
-    add("x-request-id", begin_.request_id);
+    add(std::string(net::request_id_header), begin_.request_id);
     add(headers_.deadline_, std::to_string(remaining_ms));
     add(headers_.organisation_, begin_.organisation);
     add(headers_.caller_service_, begin_.caller_service);
@@ -222,33 +223,34 @@
     send_response_body(bytes, false, true);
 }
 
+bool target_proxy_attempt::has_header(std::string_view name) const {
+    const std::vector<wire::header_field>& fields = response_.head_.headers;
+    return std::any_of(fields.begin(), fields.end(),
+                       [&](const wire::header_field& field) { return field.name == name; });
+}
+
 bool target_proxy_attempt::lacks_response_proof() const {
     const int status = response_.head_.status;
-    if (headers_.response_proof_.empty() || status < status_ok ||
-        status >= status_multiple_choices) {
-        return false;
-    }
-    for (const wire::header_field& field : response_.head_.headers) {
-        if (field.name == headers_.response_proof_) {
-            return false;
-        }
-    }
-    return true;
+    const bool successful = status >= status_ok && status < status_multiple_choices;
+    return successful && !headers_.response_proof_.empty() && !has_header(headers_.response_proof_);
+}
+
+bool target_proxy_attempt::lacks_request_id() const {
+    return headers_.echoes_request_id_ && !has_header(net::request_id_header);
 }
 
 bool target_proxy_attempt::target_reported_not_run() const {
-    if (headers_.not_run_.empty()) {
+    if (headers_.not_run_.empty() || lacks_request_id()) {
         return false;
     }
-    if (response_.head_.status == status_misdirected && !headers_.expected_target_.empty()) {
-        return true;
-    }
-    for (const wire::header_field& field : response_.head_.headers) {
-        if (field.name == headers_.not_run_) {
-            return true;
-        }
-    }
-    return false;
+    const bool misdirected =
+        response_.head_.status == status_misdirected && !headers_.expected_target_.empty();
+    return misdirected || has_header(headers_.not_run_);
+}
+
+bool target_proxy_attempt::valid_response() const {
+    return response_.complete_ && !lacks_response_proof() && !lacks_request_id() &&
+           !target_reported_not_run();
 }
 
 void target_proxy_attempt::send_collected_response() {
@@ -271,11 +273,7 @@
         end(attempt_result::not_run);
         return;
     }
-    if (!complete || lacks_response_proof()) {
-        end(attempt_result::invalid_response);
-        return;
-    }
-    end(attempt_result::responded);
+    end(valid_response() ? attempt_result::responded : attempt_result::invalid_response);
 }
 
 void target_proxy_attempt::on_failed(net::client_failure failure) {
@@ -287,7 +285,7 @@
 }
 
 bool target_proxy_attempt::resend_response() {
-    const bool available = response_.ended_ && response_.complete_ && !response_.body_discarded_;
+    const bool available = response_.ended_ && valid_response() && !response_.body_discarded_;
     if (available) {
         send_collected_response();
     }
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -24,13 +24,10 @@
 // Maximum number of bytes of a request body that may be in flight to the target proxy.
 inline constexpr std::int64_t request_window_bytes = 64 * 1024;
 
-// A response body that grows beyond this size is streamed instead of collected.
+// A response body that grows beyond this size is streamed instead of collected; that of an error, or
+// of a response that may not be the target's, ends the run as invalid.
 inline constexpr std::size_t max_collected_response_bytes = 1024 * 1024;
 
-// Intended maximum size of a response body that the target proxy keeps for a caller proxy that lost
-// its link. Not enforced: response_store keeps all responses that were not streamed.
-inline constexpr std::size_t max_kept_response_bytes = 64 * 1024;
-
 // How a run ended.
 enum class attempt_result {
     // The target's response is complete, or was streamed and has ended, complete or not.
@@ -152,6 +149,11 @@
     // Returns true if the response is successful but lacks the header that proves that the target
     // made it.
     bool lacks_response_proof() const;
+    // Returns true if the response lacks the ID of the request although targets repeat it.
+    bool lacks_request_id() const;
+    bool has_header(std::string_view name) const;
+    // Returns true if the caller proxy may get the response.
+    bool valid_response() const;
     bool target_reported_not_run() const;
     bool has_request_body() const;
     net::http_request make_request() const;
--- /dev/null
+++ b/tests/process_faulty_target_test.cpp
@@ -0,0 +1,32 @@
+// Targets that write bytes which are no response to the request that waits, on the users' platform.
+#include <catch2/catch.hpp>
+
+#include "support/plans.h"
+#include "support/store_fleet.h"
+
+using namespace dandelionridge::support;
+
+// Guards against: callers were told "not run, try again" about a request that the target had run,
+// because the target wrote a refusal that belongs to no request (REFUSED), or the request ran at a
+// second target (TWICE).
+TEST_CASE("a refusal that names no request is not taken for the answer to one",
+          "[promise-not-run]") {
+    store_fleet fleet({"orders", "orders"});
+    fleet.start_all();
+    for (const std::size_t host : {1, 2}) {
+        fleet.set_target(host, {.mode_ = target_mode::stray_refusal});
+    }
+    caller caller;
+    int runs = 0;
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "order-" + std::to_string(i);
+        const auto response = caller.send(fleet.request_to("orders", 1, id, "POST"));
+        const int runs_of_order = fleet.target(1).runs()[id] + fleet.target(2).runs()[id];
+        INFO(id);
+        CHECK(runs_of_order <= 1);
+        // Once the targets are ejected, orders are refused without a run.
+        CHECK(response.outcome() == (runs_of_order == 1 ? "unknown" : "not_run"));
+        runs += runs_of_order;
+    }
+    CHECK(runs > 0);
+}
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -116,7 +116,10 @@
 }
 
 void store_fleet::set_target(std::size_t host, target_behaviour behaviour) {
-    behaviour.headers_.push_back({"x-response-seal", "seal"});
+    behaviour.echoes_request_id_ = true;
+    if (behaviour.mode_ != target_mode::endless_body) {
+        behaviour.headers_.push_back({"x-response-seal", "seal"});
+    }
     target(host).set(std::move(behaviour));
 }
 
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -49,7 +49,8 @@
     void write_entry(std::size_t host, const std::string& state);
     void remove_entry(std::size_t host);
 
-    // Sets how a host's target responds. Adds the header that proves that the target responded.
+    // Sets how a host's target responds. Its responses repeat the request's ID and carry the header
+    // that proves that the target made them, the latter not in mode endless_body.
     void set_target(std::size_t host, target_behaviour behaviour);
 
     // Returns a request through the caller proxy of a host to a service's targets. A POST has a
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -92,6 +92,21 @@
             exchange_.abort();
             return;
         }
+        if (behaviour_.mode_ == target_mode::stray_refusal) {
+            net::http_response refusal;
+            refusal.status_ = 503;
+            refusal.headers_ = {{"x-not-executed", "full"}};
+            net::send_response(exchange_, std::move(refusal), "full\n");
+            return;
+        }
+        if (const std::string* id = net::find_header(request_.headers_, net::request_id_header);
+            id != nullptr && behaviour_.echoes_request_id_) {
+            behaviour_.headers_.push_back({std::string(net::request_id_header), *id});
+        }
+        if (is_endless()) {
+            begin_endless_body();
+            return;
+        }
         if (request_.path_.find("bytes=") != std::string::npos) {
             begin_download();
             return;
@@ -163,7 +178,24 @@
         continue_sending();
     }
 
+    bool is_endless() const {
+        return behaviour_.mode_ == target_mode::endless_body ||
+               behaviour_.mode_ == target_mode::endless_error;
+    }
+
+    void begin_endless_body() {
+        net::http_response response;
+        response.status_ = behaviour_.mode_ == target_mode::endless_error ? 500 : 200;
+        response.headers_ = behaviour_.headers_;
+        exchange_.send_head(response);
+        exchange_.send_body(std::string(block_bytes, 'x'));
+    }
+
     void continue_sending() {
+        if (is_endless()) {
+            exchange_.send_body(std::string(block_bytes, 'x'));
+            return;
+        }
         if (abort_after_send_) {
             exchange_.abort();
             return;
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -33,6 +33,12 @@
     truncated_chunked_body,
     // Sends more bytes than content-length says.
     trailing_bytes,
+    // Runs, then writes a refusal that names no request, as if an earlier one were repeated.
+    stray_refusal,
+    // Sends a body without end, until the caller closes the connection.
+    endless_body,
+    // The same, with status 500.
+    endless_error,
 };
 
 struct target_behaviour {
@@ -43,6 +49,8 @@
     bool chunked_ = false;
     // Further headers of every response but those of mode shed.
     std::vector<net::http_header> headers_{};
+    // Responses repeat the x-request-id of their request, except in modes shed and stray_refusal.
+    bool echoes_request_id_ = false;
 };
 
 // Returns a part of the body of the download at `path`, which is the same at every target.
@@ -67,6 +75,8 @@
     std::size_t total_runs() const;
     // Returns the times at which runs started, in order.
     std::vector<base::instant> run_times() const;
+    // The number of requests in flight.
+    std::size_t in_flight() const { return in_flight_; }
     // The highest number of requests in flight at the same time.
     std::size_t max_in_flight() const { return max_in_flight_; }
 
