End a run whose response without end is no response of the target

Callers saw: an endless body of an error; others: a process that used all memory of its host.

Cause: a successful response without proof was collected without bound, and an error was passed on for ever or collected by the caller proxy.

The four cases (with and without an error status, GET and POST) pass now: the outcome is unknown, the connection is closed, and memory grows by less than 24 MB.

Change: beyond 1 MB only a response that is proved and no error is streamed; any other ends the run as invalid.

--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -12,6 +12,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_multiple_choices = 300;
+constexpr int min_error_status = 400;
 constexpr int status_misdirected = 421;
 
 // Maximum time without bytes from the target during a streamed response.
@@ -205,11 +206,20 @@
     start_timeout(body_progress_timeout);
 }
 
+void target_proxy_attempt::stream_or_end() {
+    if (may_stream()) {
+        begin_streaming();
+        return;
+    }
+    request_->detach();
+    end(attempt_result::invalid_response);
+}
+
 void target_proxy_attempt::on_response_body(std::string_view bytes) {
     if (!response_.streaming_) {
         response_.body_ += bytes;
-        if (response_.body_.size() > max_collected_response_bytes && !lacks_response_proof()) {
-            begin_streaming();
+        if (response_.body_.size() > max_collected_response_bytes) {
+            stream_or_end();
         }
         return;
     }
@@ -253,6 +263,13 @@
            !target_reported_not_run();
 }
 
+// Errors are never streamed: bytes that are no response may go on without end, and an error is
+// collected by the caller proxy as well.
+bool target_proxy_attempt::may_stream() const {
+    return response_.head_.status < min_error_status && !lacks_response_proof() &&
+           !lacks_request_id();
+}
+
 void target_proxy_attempt::send_collected_response() {
     if (!response_.head_.__isset.length && begin_.method != "HEAD") {
         response_.head_.__set_length(static_cast<std::int64_t>(response_.body_.size()));
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -142,6 +142,7 @@
     bool retry_on_new_connection(net::client_failure failure);
     void start_timeout(base::duration timeout);
     void begin_streaming();
+    void stream_or_end();
     void send_response_head();
     void send_response_body(std::string_view bytes, bool last, bool complete);
     void send_collected_response();
@@ -154,6 +155,7 @@
     bool has_header(std::string_view name) const;
     // Returns true if the caller proxy may get the response.
     bool valid_response() const;
+    bool may_stream() const;
     bool target_reported_not_run() const;
     bool has_request_body() const;
     net::http_request make_request() const;
