Expect at a target the wait that its named rate means

Cause: a caller proxy counted the slots that a rate keeps busy, at least one, and took each request in the queue for one run. At a target of 1 request a second with runs of 0.5 s the queue looked half as long as it was, so requests waited there although others had room.

Change: the expected delay of a target with a rate is at least its queue over that rate.

--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -187,6 +187,7 @@
         candidate.needs_probe_ = view->report_.idle && candidate.report_age_ < max_idle_report_age;
         candidate.ejected_ = view->report_.ejected;
         if (view->report_.__isset.rate_limit) {
+            candidate.rate_limit_ = view->report_.rate_limit;
             candidate.slots_ = policy::usable_slots(view->report_.rate_limit, candidate.slots_,
                                                     candidate.run_duration_);
         }
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -51,6 +51,15 @@
     return std::chrono::duration_cast<base::duration>(value * factor);
 }
 
+// Returns the time in which a rate allows that many requests; zero without a limit.
+base::duration time_at_rate(double requests, double rate_limit) {
+    if (rate_limit <= 0) {
+        return base::duration::zero();
+    }
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(requests / rate_limit));
+}
+
 // Returns the additional delay due to the distance to the target.
 base::duration path_cost(const candidate& target, const choice_criteria& criteria) {
     if (target.distance_ == distance::same_zone) {
@@ -161,7 +170,9 @@
     const double slots = std::max(1, target.slots_);
     const double utilisation = std::min(1.0, target.load_ / slots);
     const double queued = std::max(0.0, target.load_ + 1 - slots);
-    return scale(run, 1 + full_load_slowdown * utilisation * utilisation + queued / slots) +
+    const base::duration served = scale(run, 1 + full_load_slowdown * utilisation * utilisation);
+    const base::duration slot_wait = scale(run, queued / slots);
+    return served + std::max(slot_wait, time_at_rate(queued, target.rate_limit_)) +
            path_cost(target, criteria);
 }
 
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -25,6 +25,8 @@
     double load_ = 0;
     // Number of requests that the target runs at a time.
     int slots_ = 1;
+    // Requests per second that the target takes from the whole fleet; 0: no limit is known.
+    double rate_limit_ = 0;
     // Reported duration of runs of the request's kind; zero if none has been reported.
     base::duration run_duration_{};
     // Age of that report.
--- a/tests/target_rate_test.cpp
+++ b/tests/target_rate_test.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "policy/balance.h"
 #include "policy/slot_queue.h"
 #include "policy/target_rate.h"
 
@@ -105,6 +106,22 @@
     CHECK(usable_slots(2, 5, base::duration::zero()) == 5);
 }
 
+// Answers a few slow targets among many: requests go where the rate leaves room, and do not wait
+// until their deadline at a target whose slots look free.
+TEST_CASE("the expected delay at a target grows as its rate says", "[policy]") {
+    candidate target;
+    target.slots_ = 1;
+    const choice_criteria criteria;
+    const base::duration run = base::milliseconds(500);
+    const base::duration idle = expected_delay(target, criteria, run);
+    target.rate_limit_ = 1;
+    CHECK(expected_delay(target, criteria, run) == idle);
+    target.load_ = 4;
+    CHECK(expected_delay(target, criteria, run) >= base::seconds(4));
+    target.rate_limit_ = 100;
+    CHECK(expected_delay(target, criteria, run) < base::seconds(4));
+}
+
 // Answers the load of a target that falls far behind its queue: what it cannot serve in time is
 // refused at once.
 TEST_CASE("waiting requests that the rate makes late are removed, the last ones first",
