--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -169,7 +169,6 @@
     std::deque<pending_attempt> pending_;
     std::deque<wire::frame> pending_control_;
     std::unique_ptr<net::frame_socket> socket_;
-    std::string peer_host_;
     net::timer connect_timer_;
     net::timer ping_timer_;
     net::timer reconnect_timer_;
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -7,6 +7,7 @@
 
 #include "platform/store_feed.h"
 #include "platform/store_view.h"
+#include "support/local.h"
 #include "support/store_stub.h"
 
 using namespace dandelionridge;
@@ -15,7 +16,8 @@
 
 namespace {
 
-const base::address store_address{"127.0.0.1", 18999};
+// Runs of this program at the same time have stubs at different addresses.
+const base::address store_address{loopback_ip(90), 18999};
 
 // Polls until the condition holds. Returns false if it does not within 15 s.
 bool eventually(const std::function<bool()>& condition) {
