--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -242,6 +242,7 @@
           "[config]") {
     const auto make_list = [](const std::vector<std::pair<std::string, bool>>& hosts) {
         std::vector<host_entry> entries;
+        entries.reserve(hosts.size());
         for (const auto& [name, leaving] : hosts) {
             entries.push_back({name,
                                "z1",
--- a/tests/process_leaving_test.cpp
+++ b/tests/process_leaving_test.cpp
@@ -131,8 +131,10 @@
     fleet.set_target(1, {.delay_ = std::chrono::milliseconds(300)});
     fleet.set_target(
         2, {.delay_ = std::chrono::milliseconds(1500), .headers_ = {{"server-leaving", "1"}}});
+    constexpr int order_count = 8;
     std::vector<std::future<caller_response>> responses;
-    for (int i = 0; i < 8; ++i) {
+    responses.reserve(order_count);
+    for (int i = 0; i < order_count; ++i) {
         responses.push_back(send_in_background(
             fleet.request_to("orders", 1, "order-" + std::to_string(i), "POST")));
     }
@@ -141,7 +143,7 @@
         CHECK(response.get().status_ == 200);
     }
     CHECK(fleet.target(2).total_runs() == 1);
-    CHECK(fleet.target(1).total_runs() == 7);
+    CHECK(fleet.target(1).total_runs() == order_count - 1);
 }
 
 // Guards against: a request reached a leaving target a second time, because the target proxy sent
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -251,7 +251,7 @@
 
 void target_stub::set(target_behaviour behaviour) {
     const std::lock_guard lock(mutex_);
-    behaviour_ = behaviour;
+    behaviour_ = std::move(behaviour);
 }
 
 void target_stub::drain() {
