--- a/src/config/header_policy.h
+++ b/src/config/header_policy.h
@@ -27,8 +27,8 @@
     std::string not_run_;
     // Response header by which the target reports, with the value "1", that it is leaving.
     std::string leaving_ = "x-target-leaving";
-    // Response header by which the target names the number of requests per second, a decimal number,
-    // that it takes from the whole fleet. Applies until a response lacks it.
+    // Response header by which the target names the number of requests per second, a decimal
+    // number, that it takes from the whole fleet. Applies until a response lacks it.
     std::string rate_limit_ = "x-target-rate-limit";
     // Targets repeat the x-request-id of a request in their response. A response without it belongs
     // to no request.
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -24,8 +24,8 @@
 // Maximum number of bytes of a request body that may be in flight to the target proxy.
 inline constexpr std::int64_t request_window_bytes = 64 * 1024;
 
-// A response body that grows beyond this size is streamed instead of collected; that of an error, or
-// of a response that may not be the target's, ends the run as invalid.
+// A response body that grows beyond this size is streamed instead of collected; that of an error,
+// or of a response that may not be the target's, ends the run as invalid.
 inline constexpr std::size_t max_collected_response_bytes = 1024 * 1024;
 
 // How a run ended.
