--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -7,6 +7,7 @@
 #include "filter/forwarded_headers.h"
 #include "node/call.h"
 #include "node/reported_state.h"
+#include "observe/json_output.h"
 #include "policy/retry_after.h"
 
 namespace dandelionridge::node {
@@ -194,7 +195,7 @@
         {"remedy", filter::remedy_of(refusal.reason_)},
         {"request_id", request_id_},
     };
-    net::send_response(exchange_, std::move(response), body.dump() + "\n");
+    net::send_response(exchange_, std::move(response), observe::json_text(body) + "\n");
 }
 
 // Records one event for a decision on this request.
--- a/src/node/environment.h
+++ b/src/node/environment.h
@@ -24,6 +24,8 @@
     feed_factory make_feed_;
     // Path of the platform's readiness check, in addition to /healthz.
     std::string ready_path_ = "/healthz";
+    // Time after which the platform no longer sends callers to a host that is not ready.
+    base::duration readiness_lag_{};
 };
 
 // Returns the environment of the product's own platform, which stores rules and hosts as lists of
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "observe/json_output.h"
+
 namespace dandelionridge::observe {
 
 event_log::event_log(event_source source) : source_(std::move(source)) {}
@@ -16,7 +18,7 @@
     for (const event_field& field : fields) {
         log_line[field.name_] = field.value_;
     }
-    LOG(INFO) << log_line.dump();
+    LOG(INFO) << json_text(log_line);
     events_.push_back({next_sequence_, wall_ms, std::string(kind), std::move(fields)});
     ++next_sequence_;
     if (events_.size() > event_log_capacity) {
@@ -39,7 +41,7 @@
                                      {"zone", source_.zone_},
                                      {"boot", source_.boot_},
                                      {"events", std::move(event_list)}};
-    return document.dump();
+    return json_text(document);
 }
 
 }  // namespace dandelionridge::observe
