Take the times of a planned stop from the deployment, and accept what can end

A stopping process accepted new requests for a fixed 54% of that time, however long runs take: with runs of 3 s and 6 s until the end, a request that came at 3 s was passed on and given up (process test: one of 22 requests, outcome unknown).

A request that is open when the stop begins is retried and given to targets with the time that the stop leaves.

Weighed: the acceptance of requests by the caller's deadline alone (callers here wait 20 s, so nearly all would be refused at once), and by the longest run seen (one hung run would close the entry for all).

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -126,7 +126,7 @@
     }
     const config::header_policy& headers = owner_.dependencies_.headers_;
     nested_ = context_.route_->open_ && !headers.caller_service_.empty();
-    if (nested_ ? owner_.refuses_nested_ : owner_.refuses_new_requests_) {
+    if (!owner_.accepts(context_.service_->name_, run_kind(), nested_)) {
         refuse({status_unavailable, filter::outcome::not_run, filter::reason::stopping,
                 default_retry_after});
         return;
@@ -171,13 +171,15 @@
 }
 
 base::duration call::time_left() const {
-    return deadline_ - owner_.dependencies_.loop_.clock().now();
+    return std::min(deadline_, owner_.stop_deadline()) - owner_.dependencies_.loop_.clock().now();
+}
+
+policy::run_kind call::run_kind() const {
+    return policy::run_kind_of(nested_, context_.route_->download_, context_.idempotent_);
 }
 
 policy::choice_criteria call::criteria() const {
-    const bool download = context_.route_->download_;
-    return {context_.idempotent_, retry_available(), download,
-            policy::run_kind_of(nested_, download, context_.idempotent_),
+    return {context_.idempotent_, retry_available(), context_.route_->download_, run_kind(),
             owner_.dependencies_.settings_.min_share_};
 }
 
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -96,6 +96,7 @@
     std::size_t unsent_body() const;
     policy::choice_criteria criteria() const;
     bool retry_available() const;
+    policy::run_kind run_kind() const;
     void forward_head(const wire::answer_head& head);
     void finish_response();
     void forward_held_failure();
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -85,14 +85,40 @@
     return {rule.head_bytes_, rule.body_bytes_, rule.head_timeout_, rule.idle_timeout_};
 }
 
-void caller_proxy::drain() {
+void caller_proxy::drain(const policy::drain_times& times, base::instant started_at) {
+    drain_ = active_drain{times, started_at};
     server_->close_after_responses();
     draining_until_[dependencies_.settings_.host_] = base::instant::max();
 }
 
-void caller_proxy::refuse_new_requests(bool include_nested) {
-    refuses_new_requests_ = true;
-    refuses_nested_ = include_nested;
+bool caller_proxy::accepts(const std::string& service, policy::run_kind kind, bool nested) const {
+    if (!drain_) {
+        return true;
+    }
+    const base::duration elapsed = dependencies_.loop_.clock().now() - drain_->started_at_;
+    return policy::accepts_while_draining(drain_->times_, elapsed,
+                                          usual_run_duration(service, kind), nested);
+}
+
+base::instant caller_proxy::stop_deadline() const {
+    return drain_ ? drain_->started_at_ + drain_->times_.respond_by_ : base::instant::max();
+}
+
+base::duration caller_proxy::usual_run_duration(const std::string& service,
+                                                policy::run_kind kind) const {
+    const config::host_list& hosts = *dependencies_.configuration_.hosts();
+    const auto found = hosts.by_service_.find(service);
+    if (found == hosts.by_service_.end()) {
+        return base::duration::zero();
+    }
+    std::vector<base::duration> durations;
+    for (const config::target_index& index : found->second) {
+        const std::string& target = hosts.hosts_[index.host_].targets_[index.target_].name_;
+        if (const target_view* view = views_.find(target)) {
+            durations.push_back(run_duration_of(view->report_, kind));
+        }
+    }
+    return policy::median_duration(std::move(durations)).value_or(base::duration::zero());
 }
 
 void caller_proxy::finish_all_calls() {
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -23,6 +23,7 @@
 #include "observe/metrics.h"
 #include "policy/balance.h"
 #include "policy/departures.h"
+#include "policy/drain.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -58,6 +59,12 @@
     std::function<double()> repeat_share_;
 };
 
+// A planned stop in progress.
+struct active_drain {
+    policy::drain_times times_;
+    base::instant started_at_{};
+};
+
 class caller_proxy {
 public:
     // Starts listening for callers. Returns an error if the listener cannot be created.
@@ -67,9 +74,10 @@
     caller_proxy& operator=(const caller_proxy&) = delete;
     ~caller_proxy();
 
-    // From now on, closes each caller's connection after its next response, and does not choose the
-    // targets of this host.
-    void drain();
+    // Begins a planned stop: from now on, closes each caller's connection after its next response,
+    // does not choose the targets of this host, and accepts only requests that can end before
+    // `times.respond_by_`, counted from `started_at`.
+    void drain(const policy::drain_times& times, base::instant started_at);
 
     // Stops accepting connections. Requests on open connections are still served.
     void stop_listening();
@@ -90,11 +98,6 @@
     // Removes what is known of targets but no longer applies. Called when a host list is in force.
     void expire_stale_targets();
 
-    // Refuses new requests from now on, because the process will exit before they could complete.
-    // Nested requests of runs on this host are short, and are accepted until `include_nested` is
-    // set.
-    void refuse_new_requests(bool include_nested);
-
     // Sends a final response to every open request whose response has not started, because the
     // process is about to exit.
     void finish_all_calls();
@@ -124,6 +127,16 @@
                                         const policy::choice_criteria& criteria,
                                         const std::set<std::string>& excluded);
 
+    // Returns true if a request to a service may still begin, which is always so unless this
+    // process is stopping.
+    bool accepts(const std::string& service, policy::run_kind kind, bool nested) const;
+
+    // Returns the time by which an accepted request must have ended because this process stops.
+    base::instant stop_deadline() const;
+
+    // Returns the median of the reported durations of that kind of run; zero if none is known.
+    base::duration usual_run_duration(const std::string& service, policy::run_kind kind) const;
+
     policy::retry_limits retry_limits() const;
 
     // Returns true if the retry budget of a service allows another retry.
@@ -133,8 +146,7 @@
     base::random_engine random_;
     std::unique_ptr<net::http_server> server_;
     bool listening_ = true;
-    bool refuses_new_requests_ = false;
-    bool refuses_nested_ = false;
+    std::optional<active_drain> drain_;
     target_views views_;
     // Targets that reported that they are leaving.
     policy::departures departures_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 
 #include "base/random.h"
 #include "config/host_list_changes.h"
+#include "observe/json_output.h"
 
 namespace dandelionridge::node {
 
@@ -17,13 +18,6 @@
 // is the maximum age of the replies.
 constexpr int view_requests_per_bound = 4;
 constexpr base::duration drain_check_interval = base::milliseconds(50);
-// Requests that are still open this long before the end of `drain_bound_` get their final response.
-constexpr base::duration final_response_margin = base::milliseconds(250);
-constexpr int percent = 100;
-// Percentages of `drain_bound_` during which a stopping process still accepts new requests, and
-// nested requests, which targets of this host make while they run another request.
-constexpr int accept_new_percent = 54;
-constexpr int accept_nested_percent = 75;
 // The process ends after more than this many consecutive checks that found nothing in flight.
 constexpr int flush_checks = 2;
 // The source of versions that were read from the platform, in events.
@@ -284,33 +278,32 @@
     }
     draining_ = true;
     drain_started_at_ = clock_.now();
+    drain_times_ = policy::drain_times_for(settings_.drain_bound_);
     record("draining", {{"calls", std::to_string(caller_proxy_->open_calls())},
                         {"attempts", std::to_string(target_proxy_->open_attempts())}});
     target_proxy_->drain();
-    caller_proxy_->drain();
+    caller_proxy_->drain(drain_times_, drain_started_at_);
     check_drained();
 }
 
-// Ends the process once nothing is in flight or `drain_bound_` has passed. Keeps listening for at
-// least `drain_idle_`, so that callers learn that they should use another host.
+// Ends the process once nothing is in flight or its time is over. Keeps listening for a while, so
+// that callers learn that they should use another host.
 void node::check_drained() {
     const base::duration elapsed = clock_.now() - drain_started_at_;
     const bool idle = target_proxy_->open_attempts() == 0 && caller_proxy_->open_calls() == 0;
     // Responses of requests that have just ended may not have been sent yet.
     idle_checks_ = idle ? idle_checks_ + 1 : 0;
-    if (elapsed >= settings_.drain_idle_ && idle && caller_proxy_->listening()) {
+    const base::duration min_listening = policy::listening_time(
+        drain_times_, std::max(settings_.drain_idle_, environment_.readiness_lag_));
+    if (elapsed >= min_listening && idle && caller_proxy_->listening()) {
         // The operating system refuses new connections from now on; requests on open connections
         // are still served.
         caller_proxy_->stop_listening();
         idle_checks_ = 0;
     }
     const bool finished = (!caller_proxy_->listening() && idle_checks_ > flush_checks) ||
-                          elapsed >= settings_.drain_bound_;
-    if (elapsed * percent > settings_.drain_bound_ * accept_new_percent) {
-        caller_proxy_->refuse_new_requests(elapsed * percent >
-                                           settings_.drain_bound_ * accept_nested_percent);
-    }
-    if (elapsed >= settings_.drain_bound_ - final_response_margin) {
+                          elapsed >= drain_times_.exit_by_;
+    if (elapsed >= drain_times_.respond_by_) {
         caller_proxy_->finish_all_calls();
     }
     if (!finished) {
@@ -446,7 +439,7 @@
           {"failed", counters.failed_},
           {"links_refused", counters.links_refused_}}},
     };
-    return status.dump(2) + "\n";
+    return observe::json_text(status, 2) + "\n";
 }
 
 std::string node::render_metrics() const {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -20,6 +20,7 @@
 #include "node/target_proxy.h"
 #include "observe/event.h"
 #include "observe/metrics.h"
+#include "policy/drain.h"
 
 namespace dandelionridge::node {
 
@@ -96,6 +97,7 @@
     std::unique_ptr<net::timer> drain_timer_;
     std::unique_ptr<net::timer> tick_timer_;
     base::instant drain_started_at_{};
+    policy::drain_times drain_times_;
     bool draining_ = false;
     // Consecutive drain checks that found nothing in flight.
     int idle_checks_ = 0;
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
+#include <utility>
 
 namespace dandelionridge::policy {
 
@@ -101,17 +101,13 @@
 // targets do not count.
 base::duration median_run_duration(std::span<const candidate> candidates) {
     std::vector<base::duration> durations;
+    durations.reserve(candidates.size());
     for (const candidate& target : candidates) {
-        if (target.run_duration_ > base::duration::zero() && !target.ejected_) {
+        if (!target.ejected_) {
             durations.push_back(target.run_duration_);
         }
     }
-    if (durations.empty()) {
-        return default_run_duration;
-    }
-    const auto middle = durations.begin() + static_cast<std::ptrdiff_t>((durations.size() - 1) / 2);
-    std::nth_element(durations.begin(), middle, durations.end());
-    return *middle;
+    return median_duration(std::move(durations)).value_or(default_run_duration);
 }
 
 // Returns true if ejections leave fewer targets in rotation than the minimum share. Targets that
@@ -156,6 +152,17 @@
 
 }  // namespace
 
+std::optional<base::duration> median_duration(std::vector<base::duration> durations) {
+    std::erase_if(durations,
+                  [](base::duration duration) { return duration <= base::duration::zero(); });
+    if (durations.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = durations.begin() + static_cast<std::ptrdiff_t>((durations.size() - 1) / 2);
+    std::nth_element(durations.begin(), middle, durations.end());
+    return *middle;
+}
+
 base::duration expected_delay(const candidate& target, const choice_criteria& criteria,
                               base::duration usual_duration) {
     base::duration run = usual_duration;
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/random.h"
@@ -72,6 +73,9 @@
     bool allow_ejected_ = false;
 };
 
+// Returns the median of the durations above zero; nothing if there is none.
+std::optional<base::duration> median_duration(std::vector<base::duration> durations);
+
 // Returns the expected time from now until the target's response. `usual_duration` is the duration
 // of a run on a typical target of the service.
 base::duration expected_delay(const candidate& target, const choice_criteria& criteria,
--- /dev/null
+++ b/tests/process_drain_test.cpp
@@ -0,0 +1,54 @@
+// Requests that arrive at any time of a planned stop: what is accepted is answered, and what cannot
+// end in time is refused with a true "not run".
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+#include "support/plans.h"
+#include "support/store_fleet.h"
+
+using namespace dandelionridge::support;
+
+// Guards against: requests that came late in the time of a planned stop were accepted and passed
+// on, and given up at its end, among them some that may not be repeated.
+TEST_CASE("a request that arrives during a planned stop is answered or refused as not run",
+          "[planned-stop]") {
+    constexpr std::chrono::milliseconds interval(300);
+    constexpr int request_count = 22;
+    store_fleet fleet({"orders", "orders", "orders"}, 50, "drain_bound = 6s\n");
+    fleet.start_all();
+    for (std::size_t host = 1; host <= 3; ++host) {
+        fleet.set_target(host, {.delay_ = std::chrono::seconds(3)});
+    }
+    // The processes learn how long runs take.
+    std::vector<std::future<caller_response>> responses;
+    for (int i = 0; i < 12; ++i) {
+        responses.push_back(send_in_background(fleet.request_to(
+            "orders", 1, "first-" + std::to_string(i), i % 2 == 0 ? "GET" : "POST")));
+    }
+    for (std::future<caller_response>& response : responses) {
+        CHECK(response.get().status_ == 200);
+    }
+    responses.clear();
+    fleet.host(1).send_signal(SIGTERM);
+    for (int i = 0; i < request_count; ++i) {
+        responses.push_back(send_in_background(fleet.request_to(
+            "orders", 1, "late-" + std::to_string(i), i % 2 == 0 ? "POST" : "GET")));
+        std::this_thread::sleep_for(interval);
+    }
+    int served = 0;
+    int refused = 0;
+    for (int i = 0; i < request_count; ++i) {
+        INFO("request " << i);
+        const caller_response response = responses[static_cast<std::size_t>(i)].get();
+        const bool refused_as_not_run =
+            response.connect_failed_ || (response.complete_ && response.outcome() == "not_run");
+        CHECK((response.status_ == 200 || refused_as_not_run));
+        served += response.status_ == 200 ? 1 : 0;
+        refused += response.outcome() == "not_run" ? 1 : 0;
+    }
+    CHECK(served > 0);
+    CHECK(refused > 0);
+    CHECK(fleet.host(1).wait() == 0);
+}
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -48,8 +48,11 @@
 
 }  // namespace
 
-store_fleet::store_fleet(std::vector<std::string> services, int slots)
-    : services_(std::move(services)), slots_(slots), directory_(make_test_directory()) {
+store_fleet::store_fleet(std::vector<std::string> services, int slots, std::string extra_settings)
+    : services_(std::move(services)),
+      slots_(slots),
+      extra_settings_(std::move(extra_settings)),
+      directory_(make_test_directory()) {
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         stores_.push_back(std::make_unique<store_stub>(store_address(host)));
         store_of(host).put("op/config", configuration());
@@ -149,7 +152,8 @@
         << "\n[target]\naddress = " << base::to_string(target_address(host))
         << "\nservice = " << services_.at(host - 1)
         << "\n[platform]\nform = store\naddress = " << base::to_string(store_address(host))
-        << "\n[times]\nfreshness = lenient\nview_bound = 800ms\n";
+        << "\n[times]\nfreshness = lenient\nview_bound = 800ms\n"
+        << extra_settings_;
     return file;
 }
 
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -22,8 +22,10 @@
 public:
     // `services` holds the service of each host's target. A service S has the routes
     // S.example/reads/ (idempotent) and S.example/orders/ (non-idempotent).
-    // `slots` is the number of slots of each target.
-    explicit store_fleet(std::vector<std::string> services, int slots = 20);
+    // `slots` is the number of slots of each target. `extra_settings` is appended to every settings
+    // file, in its section [times].
+    explicit store_fleet(std::vector<std::string> services, int slots = 20,
+                         std::string extra_settings = "");
     store_fleet(const store_fleet&) = delete;
     store_fleet& operator=(const store_fleet&) = delete;
     ~store_fleet();
@@ -77,6 +79,7 @@
 
     std::vector<std::string> services_;
     int slots_;
+    std::string extra_settings_;
     std::string directory_;
     // By host, from host 1 on.
     std::vector<std::unique_ptr<store_stub>> stores_;
