Charge every repeat of a request to the retry budget

A target proxy sent an idempotent request again on a new connection when its kept connection closed before a response. Nobody charged that.

The target proxy sends again only what never left the host. Otherwise it reports `connection_lost`, and the caller proxy decides within its budget: at another target, or at the same one where the route allows no other. A loss on a connection that had been idle does not count against the target's health, since targets drop idle connections; it closes the target's other idle connections and halves the idle time after which connections to it are reused, for 10 s (policy/idle_connection).

Weighed: a grant of one resend that travels with the attempt. It charges resends that never happen, or needs a refund message; the decision at the caller proxy also reaches another target when this one is gone.

The new reason on the wire is one more value of failure_reason; a process of before takes it for a failure of the target.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -273,8 +273,8 @@
     const base::instant now = loop_.clock().now();
     if (!idle_.empty() && now - idle_.back()->last_used_at() <= max_idle_age) {
         started->socket_ = idle_.back()->take();
+        started->idle_time_ = now - idle_.back()->last_used_at();
         idle_.pop_back();
-        started->reused_ = true;
         started->socket_->set_events(*started);
     } else {
         ++opened_;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -77,8 +78,8 @@
     // Closes the connection. The events receive no further calls.
     void detach();
 
-    // Returns true if the connection had already carried another request.
-    bool reused() const { return reused_; }
+    // Returns how long the connection had been idle before this request; nothing if it was new.
+    std::optional<base::duration> idle_time() const { return idle_time_; }
 
     void on_open() override {}
     void on_bytes(std::string_view bytes) override;
@@ -113,7 +114,7 @@
     std::unique_ptr<http_reader> reader_;
     // Keep-alive timeout of the server, in seconds, if its response named one.
     std::optional<int> keep_alive_s_;
-    bool reused_ = false;
+    std::optional<base::duration> idle_time_;
     bool body_sent_ = false;
     bool any_byte_sent_ = false;
     bool response_head_received_ = false;
--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -62,7 +62,7 @@
 // The server may have closed a reused connection while it was idle, and a GET may be repeated: it
 // is retried once, on a new connection.
 void http_fetch::on_failed(client_failure /*failure*/) {
-    if (!request_->reused() || retried_) {
+    if (!request_->idle_time() || retried_) {
         fail("sent no valid response");
         return;
     }
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -219,13 +219,17 @@
         }
         return;
     }
+    send_attempt(*chosen);
+}
+
+void call::send_attempt(const chosen_target& chosen) {
     attempt_ = std::make_unique<current_attempt>();
-    attempt_->link_ = &owner_.dependencies_.links_.link_to(*chosen->host_);
-    attempt_->target_ = chosen->target_->name_;
-    attempt_->target_started_ms_ = chosen->target_->started_ms_;
+    attempt_->link_ = &owner_.dependencies_.links_.link_to(*chosen.host_);
+    attempt_->target_ = chosen.target_->name_;
+    attempt_->target_started_ms_ = chosen.target_->started_ms_;
     owner_.views_.begin_attempt(attempt_->target_);
     peer_link& link = *attempt_->link_;
-    link.start(make_attempt_begin(*chosen), *this);
+    link.start(make_attempt_begin(chosen), *this);
 }
 
 wire::attempt_begin call::make_attempt_begin(const chosen_target& chosen) const {
@@ -248,7 +252,7 @@
     begin.allow_ejected = chosen.allow_ejected_;
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
-    begin.repeat = attempts_ > 0;
+    begin.repeat = attempts_ > 0 || resent_;
     const target_view* view = owner_.views_.find(begin.target_name);
     if (view != nullptr && view->report_.__isset.rate_limit) {
         begin.__set_target_rate_limit(view->report_.rate_limit);
@@ -367,11 +371,34 @@
     if (failure.__isset.report) {
         owner_.record_report(failure.report);
     }
+    if (failure.reason == wire::failure_reason::connection_lost && resend_to_target()) {
+        return;
+    }
     const bool response_lost = failure.reason == wire::failure_reason::answer_lost;
     attempt_ended(policy::attempt_outcome::unknown,
                   response_lost ? filter::reason::response_lost : filter::reason::target_failed);
 }
 
+// Sends an idempotent request to the same target once more if its route allows no other target, the
+// target still accepts requests and the retry budget allows it. Returns whether it was sent.
+bool call::resend_to_target() {
+    const bool other_targets_left = attempts_ + 1 < context_.route_->attempts_;
+    if (head_sent_ || resent_ || other_targets_left || !context_.idempotent_ || !replayable()) {
+        return false;
+    }
+    const auto same = owner_.find_eligible(context_.service_->name_, attempt_->target_, run_kind());
+    if (!same || time_left() <= same->run_duration_ ||
+        !owner_.claim_retry(context_.service_->name_, nested_)) {
+        return false;
+    }
+    resent_ = true;
+    record_event("resent", attempt_->target_, time_left());
+    owner_.dependencies_.metrics_.count_retry();
+    abandon_attempt();
+    send_attempt(*same);
+    return true;
+}
+
 void call::on_not_run() {
     tried_targets_.insert(attempt_->target_);
     attempt_ended(policy::attempt_outcome::not_run, filter::reason::no_target, true);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -81,6 +81,8 @@
     bool has_body() const;
     bool body_buffered() const;
     void start_attempt();
+    void send_attempt(const chosen_target& chosen);
+    bool resend_to_target();
     std::optional<chosen_target> choose();
     wire::attempt_begin make_attempt_begin(const chosen_target& chosen) const;
     void add_headers(wire::attempt_begin& begin) const;
@@ -94,9 +96,9 @@
     void send_pending_body();
     bool replayable() const;
     std::size_t unsent_body() const;
+    policy::run_kind run_kind() const;
     policy::choice_criteria criteria() const;
     bool retry_available() const;
-    policy::run_kind run_kind() const;
     void forward_head(const wire::answer_head& head);
     void finish_response();
     void forward_held_failure();
@@ -133,6 +135,8 @@
     int attempts_ = 0;
     // Number of refusals by target proxies, over all targets.
     int refusals_ = 0;
+    // The request was sent to one of its targets twice.
+    bool resent_ = false;
     // An earlier attempt may have run.
     bool may_have_run_ = false;
     // Shortest time after which a slot may be free, as reported by the target proxies that refused;
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -183,6 +183,12 @@
                               dependencies_.loop_.clock().now());
 }
 
+bool caller_proxy::claim_retry(const std::string& service, bool nested) {
+    return policy::claim_retry(retry_budgets_[service], retry_limits(),
+                               policy::usable_budget_share(nested),
+                               dependencies_.loop_.clock().now());
+}
+
 policy::candidate caller_proxy::make_candidate(const config::host_entry& host,
                                                const config::target_entry& target,
                                                const config::service_rule& service,
@@ -222,6 +228,30 @@
     return candidate;
 }
 
+std::optional<chosen_target> caller_proxy::find_eligible(const std::string& service,
+                                                         const std::string& target,
+                                                         policy::run_kind kind) const {
+    const config::host_list& hosts = *dependencies_.configuration_.hosts();
+    const config::rule_set& rules = *dependencies_.configuration_.rules();
+    const auto target_indexes = hosts.by_service_.find(service);
+    const auto rule = rules.services_.find(service);
+    if (target_indexes == hosts.by_service_.end() || rule == rules.services_.end()) {
+        return std::nullopt;
+    }
+    for (const config::target_index& index : target_indexes->second) {
+        const config::host_entry& host = hosts.hosts_[index.host_];
+        const config::target_entry& entry = host.targets_[index.target_];
+        if (entry.name_ != target) {
+            continue;
+        }
+        const policy::candidate candidate = make_candidate(host, entry, rule->second, kind);
+        const bool usable = !candidate.excluded_ && !candidate.unreachable_ && !candidate.ejected_;
+        return usable ? std::optional(chosen_target{&host, &entry, false, candidate.run_duration_})
+                      : std::nullopt;
+    }
+    return std::nullopt;
+}
+
 std::optional<chosen_target> caller_proxy::choose(const std::string& service,
                                                   const policy::choice_criteria& criteria,
                                                   const std::set<std::string>& excluded) {
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -139,9 +139,17 @@
 
     policy::retry_limits retry_limits() const;
 
+    // Returns a target of a service by its name if it may get a request of that kind now.
+    std::optional<chosen_target> find_eligible(const std::string& service,
+                                               const std::string& target,
+                                               policy::run_kind kind) const;
+
     // Returns true if the retry budget of a service allows another retry.
     bool may_retry(const std::string& service, bool nested);
 
+    // Charges a retry to the budget of a service. Returns false if the budget does not allow it.
+    bool claim_retry(const std::string& service, bool nested);
+
     caller_proxy_dependencies dependencies_;
     base::random_engine random_;
     std::unique_ptr<net::http_server> server_;
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -26,6 +26,7 @@
 #include "observe/event.h"
 #include "policy/attempt_ledger.h"
 #include "policy/departures.h"
+#include "policy/idle_connection.h"
 #include "policy/idle_target.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
@@ -73,7 +74,8 @@
                             const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
     void on_wait_expired(target_proxy_attempt& attempt) override;
-    bool claim_resend(const target_proxy_attempt& attempt) override;
+    void on_connection_dropped(const target_proxy_attempt& attempt,
+                               base::duration idle_time) override;
     wire::target_report make_report_for(const target_proxy_attempt& attempt) override;
 
     // Records that a call made by this host's target while it ran a request has failed. The call
@@ -116,6 +118,7 @@
         policy::target_health health_;
         policy::run_estimates run_estimates_;
         policy::target_rate rate_;
+        policy::idle_connection_limit idle_limit_;
         // The last response named a limit that could not be read.
         bool rate_limit_rejected_ = false;
         int in_flight_ = 0;
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include "net/http_writer.h"
 #include "node/wire_attempt.h"
+#include "policy/idle_connection.h"
 
 namespace dandelionridge::node {
 
@@ -22,12 +23,6 @@
 // that the caller does not read.
 constexpr base::duration stalled_caller_timeout = base::seconds(60);
 
-// Maximum idle time of a pooled connection that is reused, by kind of request. It is shorter for
-// requests that must not run twice: if the target closes the connection meanwhile, it is unknown
-// whether the request ran.
-constexpr base::duration max_idle_age_non_idempotent = base::milliseconds(1500);
-constexpr base::duration max_idle_age_idempotent = base::seconds(5);
-
 }  // namespace
 
 target_proxy_attempt::target_proxy_attempt(net::event_loop& loop, target_proxy_attempt_owner& owner,
@@ -92,32 +87,29 @@
     return request;
 }
 
-void target_proxy_attempt::run(net::http_client_pool& pool) {
+void target_proxy_attempt::run(net::http_client_pool& pool, base::duration max_idle_time) {
     pool_ = &pool;
     run_started_at_ = loop_.clock().now();
-    start(pool, begin_.idempotent ? max_idle_age_idempotent : max_idle_age_non_idempotent);
+    start(pool, max_idle_time);
 }
 
-void target_proxy_attempt::start(net::http_client_pool& pool, base::duration max_idle_age) {
-    request_ = pool.start(make_request(), max_idle_age, *this);
+void target_proxy_attempt::start(net::http_client_pool& pool, base::duration max_idle_time) {
+    request_ = pool.start(make_request(), max_idle_time, *this);
     if (has_request_body() && (request_body_ended_ || !pending_request_body_.empty())) {
         request_->send_body(std::exchange(pending_request_body_, {}), request_body_ended_);
     }
 }
 
-// Sends the request once more, on a new connection, if the target had closed the reused connection
-// meanwhile. Only done for a request without a body that is idempotent or was never sent, and only
-// while the target may get requests. Returns true if the request was sent again.
-bool target_proxy_attempt::retry_on_new_connection(net::client_failure failure) {
-    const bool safe = failure == net::client_failure::never_sent || begin_.idempotent;
-    if (!request_->reused() || retried_ || !safe || has_request_body() ||
-        !owner_.claim_resend(*this)) {
-        return false;
+// Returns how the run ended whose response did not begin. A request that may have arrived is not
+// sent again from here: the caller proxy decides that, within its retry budget.
+attempt_result target_proxy_attempt::failure_result(net::client_failure failure) const {
+    if (failure == net::client_failure::never_sent) {
+        return attempt_result::not_run;
     }
-    retried_ = true;
-    loop_.defer([old_request = std::shared_ptr<net::http_client_request>(std::move(request_))] {});
-    start(*pool_, base::duration(-1));
-    return true;
+    const auto idle_time = request_->idle_time();
+    return idle_time && policy::was_dropped_while_idle(*idle_time)
+               ? attempt_result::connection_lost
+               : attempt_result::invalid_response;
 }
 
 void target_proxy_attempt::cancel() {
@@ -294,11 +286,17 @@
 }
 
 void target_proxy_attempt::on_failed(net::client_failure failure) {
-    if (retry_on_new_connection(failure)) {
+    const auto idle_time = request_->idle_time();
+    if (idle_time && policy::was_dropped_while_idle(*idle_time)) {
+        owner_.on_connection_dropped(*this, *idle_time);
+    }
+    if (failure == net::client_failure::never_sent && idle_time) {
+        // Nothing of the request has left this host, so it goes out on a new connection.
+        loop_.defer([old = std::shared_ptr<net::http_client_request>(std::move(request_))] {});
+        start(*pool_, base::duration(-1));
         return;
     }
-    end(failure == net::client_failure::never_sent ? attempt_result::not_run
-                                                   : attempt_result::invalid_response);
+    end(failure_result(failure));
 }
 
 bool target_proxy_attempt::resend_response() {
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -36,6 +36,8 @@
     not_run,
     // The target gave no usable response.
     invalid_response,
+    // The target closed a kept connection before it responded, probably while it was idle.
+    connection_lost,
     // The deadline, or a timeout of a streamed response, passed during the run.
     timed_out,
     // The caller proxy no longer wants a response, or its link was lost.
@@ -64,8 +66,9 @@
     // Called when the deadline passed while the attempt waited for a slot.
     virtual void on_wait_expired(target_proxy_attempt& attempt) = 0;
 
-    // Returns true if the attempt may be sent to its target once more now, and counts it as sent.
-    virtual bool claim_resend(const target_proxy_attempt& attempt) = 0;
+    // Called when a connection to the attempt's target was found closed after it had been idle.
+    virtual void on_connection_dropped(const target_proxy_attempt& attempt,
+                                       base::duration idle_time) = 0;
 
     // Returns the current report on the attempt's target.
     virtual wire::target_report make_report_for(const target_proxy_attempt& attempt) = 0;
@@ -94,8 +97,9 @@
     target_proxy_attempt& operator=(const target_proxy_attempt&) = delete;
     ~target_proxy_attempt() override = default;
 
-    // Sends the request to the target, on a connection of the pool.
-    void run(net::http_client_pool& pool);
+    // Sends the request to the target, on a connection of the pool that was idle for at most
+    // `max_idle_time`, or on a new one.
+    void run(net::http_client_pool& pool, base::duration max_idle_time);
 
     // Ends the run by closing the connection to the target.
     void cancel();
@@ -138,8 +142,8 @@
     void on_request_sent(std::size_t bytes) override;
 
 private:
-    void start(net::http_client_pool& pool, base::duration max_idle_age);
-    bool retry_on_new_connection(net::client_failure failure);
+    void start(net::http_client_pool& pool, base::duration max_idle_time);
+    attempt_result failure_result(net::client_failure failure) const;
     void start_timeout(base::duration timeout);
     void begin_streaming();
     void stream_or_end();
@@ -180,7 +184,6 @@
     // Address of the target, as text; the key of its state in the target proxy.
     std::string target_key_;
     bool response_discarded_ = false;
-    bool retried_ = false;
     bool finished_ = false;
     collected_response response_;
 };
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -9,6 +9,16 @@
 
 namespace dandelionridge::node {
 
+namespace {
+
+// Maximum idle time of a connection that is reused, by kind of request. It is shorter for requests
+// that must not run twice: if the target closes the connection meanwhile, it is unknown whether the
+// request ran.
+constexpr base::duration max_idle_time_non_idempotent = base::milliseconds(1500);
+constexpr base::duration max_idle_time_idempotent = base::seconds(5);
+
+}  // namespace
+
 // Returns why an attempt must be refused regardless of its target's load, or nothing if it may be
 // queued.
 std::optional<wire::refusal_reason> target_proxy::rejection_reason(
@@ -231,7 +241,10 @@
     policy::record_sent(state.rate_, loop_.clock().now());
     state.idle_state_.last_run_at_ = loop_.clock().now();
     policy::begin_trial(state.health_);
-    attempt.run(*state.pool_);
+    const base::duration usual_idle_time =
+        attempt.begin().idempotent ? max_idle_time_idempotent : max_idle_time_non_idempotent;
+    attempt.run(*state.pool_, policy::reusable_idle_time(state.idle_limit_, usual_idle_time,
+                                                         loop_.clock().now()));
 }
 
 void target_proxy::refuse(target_proxy_attempt& attempt, wire::refusal_reason reason) {
@@ -258,14 +271,12 @@
     refuse(attempt, wire::refusal_reason::deadline);
 }
 
-bool target_proxy::claim_resend(const target_proxy_attempt& attempt) {
-    policy::target_rate& rate = targets_.at(attempt.target_key()).rate_;
-    const base::instant now = loop_.clock().now();
-    if (run_rejection_reason(attempt.begin()) || !policy::may_send(rate, now)) {
-        return false;
-    }
-    policy::record_sent(rate, now);
-    return true;
+// Closes the other idle connections as well: the target has probably dropped them too.
+void target_proxy::on_connection_dropped(const target_proxy_attempt& attempt,
+                                         base::duration idle_time) {
+    target_state& target = targets_.at(attempt.target_key());
+    policy::record_dropped(target.idle_limit_, idle_time, loop_.clock().now());
+    target.pool_->clear();
 }
 
 void target_proxy::remove_from_queue(target_proxy_attempt& attempt) {
@@ -290,6 +301,9 @@
         case attempt_result::invalid_response:
             fail(attempt, wire::failure_reason::target_closed);
             break;
+        case attempt_result::connection_lost:
+            fail(attempt, wire::failure_reason::connection_lost);
+            break;
         case attempt_result::timed_out:
             fail(attempt, wire::failure_reason::target_timeout);
             break;
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -37,6 +37,7 @@
         target.health_ = {};
         target.run_estimates_ = {};
         target.rate_ = {};
+        target.idle_limit_ = {};
         target.pool_->clear();
     }
     if (target.started_ms_ != 0 && found.started_ms_ > target.started_ms_) {
@@ -69,6 +70,7 @@
                    last_failed_call_at_ < attempt.run_started_at();
         }
         case attempt_result::not_run:
+        case attempt_result::connection_lost:
             break;
     }
     return false;
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -67,14 +67,20 @@
     return retries + 1 <= share * (limits.ratio_ * requests + limits.slack_);
 }
 
+bool claim_retry(retry_budget& budget, const retry_limits& limits, double share,
+                 base::instant now) {
+    if (!has_budget(budget, limits, share, now)) {
+        return false;
+    }
+    interval_at(budget, limits, now).retries_ += 1;
+    return true;
+}
+
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now) {
     const double share = usable_budget_share(context.nested_);
     if (retry_is_safe(context) && retry_is_feasible(context) &&
-        (context.budget_exempt_ || has_budget(budget, limits, share, now))) {
-        if (!context.budget_exempt_) {
-            interval_at(budget, limits, now).retries_ += 1;
-        }
+        (context.budget_exempt_ || claim_retry(budget, limits, share, now))) {
         return retry_decision::retry;
     }
     if (context.outcome_ == attempt_outcome::failed) {
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -85,6 +85,9 @@
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
                 base::instant now);
 
+// Charges one retry to the budget if it fits into that share of it. Returns whether it did.
+bool claim_retry(retry_budget& budget, const retry_limits& limits, double share, base::instant now);
+
 // Returns what to do next, and charges a retry to the budget unless it is exempt.
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now);
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -167,6 +167,9 @@
     target_timeout = 2
     answer_broken = 3
     answer_lost = 4
+    // The target closed a kept connection before it responded. It may just have dropped the idle
+    // connection, so this does not count as a failure of the target.
+    connection_lost = 5
 }
 
 // The attempt may have run, and there is no complete response.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -66,15 +66,17 @@
   target_closed,
   target_timeout,
   answer_broken,
-  answer_lost
+  answer_lost,
+  connection_lost
 };
 const char* _kfailure_reasonNames[] = {
   "target_closed",
   "target_timeout",
   "answer_broken",
-  "answer_lost"
+  "answer_lost",
+  "connection_lost"
 };
-const std::map<int, const char*> _failure_reason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kfailure_reasonValues, _kfailure_reasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _failure_reason_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kfailure_reasonValues, _kfailure_reasonNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const failure_reason val) {
   std::map<int, const char*>::const_iterator it = _failure_reason_VALUES_TO_NAMES.find(val);
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -46,7 +46,8 @@
   target_closed = 1,
   target_timeout = 2,
   answer_broken = 3,
-  answer_lost = 4
+  answer_lost = 4,
+  connection_lost = 5
 };
 
 extern const std::map<int, const char*> _failure_reason_VALUES_TO_NAMES;
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -88,7 +88,10 @@
     }
 
     void respond() {
-        if (behaviour_.mode_ == target_mode::close_after_run) {
+        const bool closes = behaviour_.mode_ == target_mode::close_after_run ||
+                            (behaviour_.mode_ == target_mode::close_every_other &&
+                             ++target_.alternating_runs_ % 2 == 0);
+        if (closes) {
             exchange_.abort();
             return;
         }
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -27,6 +27,8 @@
     shed,
     // Runs, then closes the connection without a response.
     close_after_run,
+    // Does so with every second run, and responds to the others.
+    close_every_other,
     // Closes the connection before it has sent as many bytes as content-length says.
     truncated_body,
     // Closes the connection before the last chunk of a chunked body.
@@ -96,6 +98,8 @@
     std::map<std::string, int> runs_;
     std::vector<base::instant> run_times_;
     std::string transcript_;
+    // Runs in mode close_every_other. Used only on the stub's thread.
+    std::size_t alternating_runs_ = 0;
     target_behaviour behaviour_;
     std::atomic<std::size_t> in_flight_ = 0;
     std::atomic<std::size_t> max_in_flight_ = 0;
