Ping only links with something outstanding; report health to users only

Each change of a target's health, about two a second for each failing target, went to every caller proxy: with 234 hosts and 30% of the targets failing by turns that is some 30,000 messages a second over the fleet (worked out, not measured). And each process woke for the ping timer of each link every 300 ms, though most links carry nothing.

Departures and rate limits still go to all. A link's ping timer runs only while a reply is owed; the first ping follows after 150 ms, so that a silent link is found as early on average as before.

Weighed: a random sample besides the users (more bytes for a state that decays within seconds).

--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -12,6 +12,8 @@
 // Maximum time from the start of connecting to the peer's welcome frame.
 constexpr base::duration connect_timeout = base::milliseconds(400);
 constexpr base::duration ping_interval = base::milliseconds(300);
+// Time from the first frame to which the peer owes a reply to the first ping.
+constexpr base::duration first_ping_delay = ping_interval / 2;
 constexpr base::duration idle_timeout = base::seconds(30);
 // The delay before a reconnect is this, doubled once for each consecutive failure, but at most
 // max_reconnect_doublings times.
@@ -110,6 +112,7 @@
     control_sent_ = true;
     if (is_open()) {
         send(frame);
+        start_pings();
         return;
     }
     constexpr std::size_t max_pending_frames = 64;
@@ -172,6 +175,7 @@
     const bool was_open = is_open();
     connect_timer_.cancel();
     ping_timer_.cancel();
+    pinging_ = false;
     std::unique_ptr<net::frame_socket> lost_socket = std::move(socket_);
     if (lost_socket != nullptr) {
         lost_socket->close();
@@ -224,6 +228,7 @@
     frame.begin_.guard_boot = sent_attempts_.current_link_->target_proxy_boot_;
     attempts_.emplace(*attempt, pending.events_);
     send(frame);
+    start_pings();
     pending.events_->on_written(*attempt);
 }
 
@@ -253,6 +258,7 @@
     failures_ = 0;
     ping_nonce_ = 0;
     pong_nonce_ = 0;
+    pinging_ = false;
     const policy::link_opening opening = policy::confirm_link(sent_attempts_, welcome.boot);
     for (const policy::resolve_request& request : opening.resolve_requests_) {
         send_resolve(request);
@@ -271,7 +277,8 @@
     for (pending_attempt& pending : std::exchange(pending_, {})) {
         write(std::move(pending));
     }
-    schedule_ping();
+    // Queries of attempts on lost links may be outstanding.
+    start_pings();
     for (attempt_events* listener : unknown_listeners) {
         listener->on_unknown();
     }
@@ -321,8 +328,13 @@
     }
 }
 
-void peer_link::schedule_ping() {
-    ping_timer_.start(ping_interval, [this] { on_ping_due(); });
+// Starts the pings if the peer owes a reply and they have not been started. A link on which nothing
+// is outstanding costs no timer.
+void peer_link::start_pings() {
+    if (is_open() && !pinging_) {
+        pinging_ = true;
+        ping_timer_.start(first_ping_delay, [this] { on_ping_due(); });
+    }
 }
 
 void peer_link::on_ping_due() {
@@ -331,15 +343,17 @@
         handle_link_lost("silent");
         return;
     }
-    if (!attempts_.empty() || control_sent_ || ping_nonce_ != pong_nonce_) {
-        control_sent_ = false;
-        wire::frame frame;
-        frame.__isset.ping_ = true;
-        frame.ping_.nonce = ++ping_nonce_;
-        frame.ping_.versions = identity_.versions_();
-        send(frame);
+    if (attempts_.empty() && !control_sent_ && ping_nonce_ == pong_nonce_) {
+        pinging_ = false;
+        return;
     }
-    schedule_ping();
+    control_sent_ = false;
+    wire::frame frame;
+    frame.__isset.ping_ = true;
+    frame.ping_.nonce = ++ping_nonce_;
+    frame.ping_.versions = identity_.versions_();
+    send(frame);
+    ping_timer_.start(ping_interval, [this] { on_ping_due(); });
 }
 
 attempt_events* peer_link::find_listener(const wire::attempt_ref& ref) {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -148,7 +148,7 @@
     void on_resolution(const wire::resolution& resolution);
     void on_resolved(policy::attempt_id attempt, wire::attempt_state state);
     void send_resolve(const policy::resolve_request& request);
-    void schedule_ping();
+    void start_pings();
     void on_ping_due();
     void dispatch(wire::frame& frame);
     attempt_events* find_listener(const wire::attempt_ref& ref);
@@ -179,6 +179,8 @@
     // A control frame, to which a reply may be expected, was sent since the last ping: the next
     // ping is due even if no attempt is outstanding.
     bool control_sent_ = false;
+    // The next ping is scheduled.
+    bool pinging_ = false;
     // Consecutive lost links and failed connects, at most max_reconnect_doublings; 0 if a link is
     // open or none is needed.
     int failures_ = 0;
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -106,6 +106,8 @@
         std::int64_t caller_proxy_boot_ = 0;
         std::int64_t link_ = 0;
         bool handshake_done_ = false;
+        // When the caller proxy began its last attempt here.
+        base::instant last_attempt_at_{};
     };
 
     // State of the target at one address.
@@ -175,6 +177,7 @@
     base::duration expected_wait(target_state& target, const policy::waiting_request& waiting);
     void refuse_late(target_state& target);
     void broadcast_report(const target_state& target);
+    void report_to_users(const target_state& target);
     bool is_departing(const target_state& target) const;
     const target_state* find_state(const wire::attempt_begin& begin) const;
     void refuse_unrunnable_waiting();
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -140,6 +140,7 @@
 void target_proxy::on_begin(connection& link, wire::attempt_begin&& begin) {
     const wire::attempt_ref ref = begin.attempt;
     const policy::ledger_key key{link.caller_proxy_boot_, from_wire(ref)};
+    link.last_attempt_at_ = loop_.clock().now();
     if (ref.link != link.link_) {
         send_refusal(link, ref, wire::refusal_reason::duplicate, nullptr, {});
         return;
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -18,6 +18,8 @@
 // this many times the expected duration.
 constexpr int hung_run_factor = 3;
 constexpr int min_server_error_status = 500;
+// A caller proxy counts as a user of this host's targets for this time after an attempt.
+constexpr base::duration recent_use = base::seconds(5);
 constexpr double percent = 100;
 // Maximum number of caller proxies that are asked at a time for a request to an idle target.
 constexpr std::size_t max_probe_requests = 10;
@@ -133,7 +135,7 @@
     return report;
 }
 
-// Records the new health state of a target and sends its report to every connected caller proxy.
+// Records the new health state of a target and sends its report to the caller proxies that use it.
 void target_proxy::record_health_change(const target_state& target) {
     const wire::target_report report = make_report(target);
     events_.record(
@@ -142,7 +144,20 @@
         : report.on_trial ? "target_on_trial"
                           : "target_readmitted",
         {{"target", target.name_}, {"suspicion_percent", std::to_string(report.suspicion)}});
-    broadcast_report(target);
+    report_to_users(target);
+}
+
+// Sends a target's report to the caller proxies that sent it attempts lately. The others learn its
+// state from the reply to their next attempt, so that a change costs no message to each host.
+void target_proxy::report_to_users(const target_state& target) {
+    const base::instant now = loop_.clock().now();
+    wire::frame frame;
+    frame.__set_report_(make_report(target));
+    for (auto& [socket, link] : connections_) {
+        if (link.handshake_done_ && now - link.last_attempt_at_ < recent_use) {
+            link.socket_->send(frame);
+        }
+    }
 }
 
 void target_proxy::broadcast_report(const target_state& target) {
