Decode only the entries that a version changes; find links without building keys

Each choice of a target built a "name@address" key for each candidate to look its link up. Above 256 hosts links were opened on demand, and a host counted those that it had not opened as unreachable: an organisation's rate would have shrunk to the share of links open by chance.

The decoder keeps what each line was decoded to and decodes new lines only. Links are found by the host's name and checked by address. Links are kept open up to 1,024 hosts, where they take half of a process's descriptors; above that a host without a link counts as reachable until a link to it fails.

Unit tests: lines that stay are not decoded again.

--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -1,7 +1,6 @@
 #include "node/link_pool.h"
 
 #include <algorithm>
-#include <set>
 
 namespace dandelionridge::node {
 
@@ -9,8 +8,9 @@
 
 constexpr base::duration sweep_interval = base::seconds(10);
 
-// In fleets with more hosts than this, links are opened only on demand.
-constexpr std::size_t max_hosts_kept_open = 256;
+// In fleets with more hosts than this, links are opened only on demand: two sockets to each host
+// would take most of a process's descriptors.
+constexpr std::size_t max_hosts_kept_open = 1024;
 
 std::string key_of(const config::host_entry& host) {
     return host.name_ + "@" + base::to_string(host.address_);
@@ -24,42 +24,48 @@
     sweep_timer_.start(sweep_interval, [this] { remove_idle_links(); });
 }
 
+peer_link* link_pool::find_current(const config::host_entry& host) const {
+    const auto found = current_links_.find(host.name_);
+    const bool current = found != current_links_.end() && found->second->address() == host.address_;
+    return current ? found->second : nullptr;
+}
+
 peer_link& link_pool::link_to(const config::host_entry& host) {
+    if (peer_link* current = find_current(host)) {
+        return *current;
+    }
     std::unique_ptr<peer_link>& link = links_[key_of(host)];
     if (link == nullptr) {
         link = std::make_unique<peer_link>(loop_, identity_, events_, host.name_, host.address_,
                                            listener_);
-        current_links_[host.name_] = link.get();
     }
+    current_links_[host.name_] = link.get();
     return *link;
 }
 
 const peer_link* link_pool::find(const config::host_entry& host) const {
+    if (const peer_link* current = find_current(host)) {
+        return current;
+    }
     const auto found = links_.find(key_of(host));
     return found == links_.end() ? nullptr : found->second.get();
 }
 
 void link_pool::update_hosts(const config::host_list& hosts) {
-    const bool keep_all_open = hosts.hosts_.size() <= max_hosts_kept_open;
-    std::set<std::string> listed;
+    keeps_all_open_ = hosts.hosts_.size() <= max_hosts_kept_open;
     for (const config::host_entry& host : hosts.hosts_) {
-        listed.insert(key_of(host));
-        if (keep_all_open) {
+        if (keeps_all_open_) {
             link_to(host).keep_open(true);
+        } else if (const auto found = links_.find(key_of(host)); found != links_.end()) {
+            current_links_[host.name_] = found->second.get();
         }
     }
-    current_links_.clear();
     for (auto& [key, link] : links_) {
-        if (!keep_all_open || !listed.contains(key)) {
+        const config::host_entry* listed = config::find_host(hosts, link->peer());
+        const bool is_listed = listed != nullptr && listed->address_ == link->address();
+        if (!keeps_all_open_ || !is_listed) {
             link->keep_open(false);
         }
-        current_links_[link->peer()] = link.get();
-    }
-    for (const config::host_entry& host : hosts.hosts_) {
-        const auto found = links_.find(key_of(host));
-        if (found != links_.end()) {
-            current_links_[host.name_] = found->second.get();
-        }
     }
 }
 
@@ -70,9 +76,12 @@
     }
 }
 
-bool link_pool::is_open(const std::string& host) const {
+bool link_pool::is_reachable(const std::string& host) const {
     const auto found = current_links_.find(host);
-    return found != current_links_.end() && found->second->is_open();
+    if (found == current_links_.end()) {
+        return !keeps_all_open_;
+    }
+    return found->second->is_open() || (!keeps_all_open_ && !found->second->reconnecting());
 }
 
 std::size_t link_pool::open_count() const {
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -31,14 +31,16 @@
     // Reconnects to a host at once, because it has opened a link to this host and so is reachable.
     void on_peer_connected(const std::string& host);
 
-    // Returns true if the current link to the host of that name is open.
-    bool is_open(const std::string& host) const;
+    // Returns true if the host of that name can be reached as far as is known: its current link is
+    // open or, where links are opened on demand, none has failed.
+    bool is_reachable(const std::string& host) const;
 
     std::size_t open_count() const;
     std::size_t size() const { return links_.size(); }
 
 private:
     void remove_idle_links();
+    peer_link* find_current(const config::host_entry& host) const;
 
     net::event_loop& loop_;
     const link_identity& identity_;
@@ -49,6 +51,7 @@
     // The link to the current address of each host, keyed by host name.
     std::unordered_map<std::string, peer_link*> current_links_;
     net::timer sweep_timer_;
+    bool keeps_all_open_ = true;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -52,7 +52,7 @@
     void on_target_report(const wire::target_report& report) override;
 
     void send(const std::string& host, const wire::frame& frame) override;
-    bool reachable(const std::string& host) const override { return links_->is_open(host); }
+    bool reachable(const std::string& host) const override { return links_->is_reachable(host); }
 
 private:
     node(const base::runtime_clock& clock, config::settings settings, environment environment);
--- a/tests/platform_decoder_test.cpp
+++ b/tests/platform_decoder_test.cpp
@@ -48,6 +48,14 @@
     R"({"service":"s1","address":"10.1.0.9:8080","zone":"thess-a","version":"v1","slots":5,)"
     R"("state":"ready","warmupLeftS":0,"seq":4,"born":1700000000000})";
 
+// Decodes the lines of a first version.
+base::result<decoded_servers> decode(std::int64_t version, const std::vector<std::string>& lines,
+                                     std::uint16_t peer_port,
+                                     const std::set<std::string>& known_services) {
+    decoded_lines none;
+    return decode_servers(version, lines, peer_port, known_services, none);
+}
+
 }  // namespace
 
 TEST_CASE("decode_config turns a configuration into rules", "[platform][contract]") {
@@ -154,7 +162,7 @@
     lines.push_back("good " + entry);
     lines.push_back("leaving " +
                     replace_text(replace_text(entry, "10.1.0.9", "10.1.0.7"), "ready", "draining"));
-    const auto decoded = decode_servers(3, lines, 7640, {});
+    const auto decoded = decode(3, lines, 7640, {});
     REQUIRE(decoded);
     CHECK(decoded->rejected_.size() == invalid_lines.size());
     REQUIRE(decoded->hosts_->hosts_.size() == 2);
@@ -176,7 +184,7 @@
         const std::vector<std::string> lines =
             later_first ? std::vector<std::string>{"a " + later_entry, "b " + entry}
                         : std::vector<std::string>{"a " + entry, "b " + later_entry};
-        const auto decoded = decode_servers(1, lines, 1, {});
+        const auto decoded = decode(1, lines, 1, {});
         REQUIRE(decoded);
         REQUIRE(decoded->hosts_->hosts_.size() == 1);
         CHECK(decoded->hosts_->hosts_.front().targets_.front().service_ == "s2");
@@ -217,3 +225,19 @@
     CHECK(range_path("servers/a b") == "/api/kv-range?prefix=&after=servers/a%20b");
     CHECK(watch_path(4, 2000, true) == "/api/kv-watch?prefix=&after=4&waitMs=2000&serializable=1");
 }
+
+// Pattern: cost by the change. The list of a large fleet changes by one entry at a time.
+TEST_CASE("only the lines that a version changes are decoded", "[platform][contract]") {
+    decoded_lines decoded;
+    REQUIRE(decode_servers(1, {"a " + entry, "odd {}"}, 1, {}, decoded));
+    REQUIRE(decoded.size() == 2);
+    const config::host_entry* kept = &*decoded.at("a " + entry).host_;
+    const std::string added = "b " + replace_text(entry, "10.1.0.9", "10.1.0.7");
+    const auto second = decode_servers(2, {"a " + entry, added, "odd {}"}, 1, {}, decoded);
+    REQUIRE(second);
+    CHECK(&*decoded.at("a " + entry).host_ == kept);
+    CHECK(second->hosts_->hosts_.size() == 2);
+    CHECK(second->rejected_.size() == 1);
+    REQUIRE(decode_servers(3, {added}, 1, {}, decoded));
+    CHECK(decoded.size() == 1);
+}
--- a/tests/platform_odd_entry_test.cpp
+++ b/tests/platform_odd_entry_test.cpp
@@ -92,6 +92,13 @@
     return names;
 }
 
+// Decodes the lines of a first version.
+base::result<decoded_servers> decode(const std::vector<std::string>& lines,
+                                     const std::set<std::string>& known_services) {
+    decoded_lines none;
+    return decode_servers(1, lines, peer_port, known_services, none);
+}
+
 }  // namespace
 
 TEST_CASE("an odd entry is rejected by name and the others hold", "[platform][odd-entry]") {
@@ -101,7 +108,7 @@
         const std::vector<store_item> items = {{"servers/good-1", entry_of({}), 3, false},
                                                {"servers/odd", odd.text_, 4, false}};
         apply_snapshot(view, items, 4, {});
-        const auto decoded = decode_servers(1, server_lines(view), peer_port, {"s1"});
+        const auto decoded = decode(server_lines(view), {"s1"});
         REQUIRE(decoded);
         CHECK(host_names(*decoded->hosts_) == std::vector<std::string>{"10.1.0.9"});
         REQUIRE(decoded->rejected_.size() == 1);
@@ -112,7 +119,7 @@
 TEST_CASE("a deeply nested field that nothing reads does not cost the entry",
           "[platform][odd-entry]") {
     const std::string text = entry_of({.extra_ = R"(,"note":)" + nested(3000, '[', ']')});
-    const auto decoded = decode_servers(1, {"good " + text}, peer_port, {});
+    const auto decoded = decode({"good " + text}, {});
     REQUIRE(decoded);
     CHECK(decoded->rejected_.empty());
     CHECK(host_names(*decoded->hosts_) == std::vector<std::string>{"10.1.0.9"});
@@ -127,7 +134,7 @@
             {"servers/good-1", entry_of({}), 3, false},
             {"servers/" + id, entry_of({.address_ = R"("10.1.0.8:8080")"}), 4, false}};
         apply_snapshot(view, items, 4, {});
-        const auto decoded = decode_servers(1, server_lines(view), peer_port, {});
+        const auto decoded = decode(server_lines(view), {});
         REQUIRE(decoded);
         CHECK(host_names(*decoded->hosts_) == std::vector<std::string>{"10.1.0.9"});
         CHECK(decoded->rejected_.size() == 1);
@@ -141,7 +148,7 @@
         const std::vector<std::string> lines =
             forged_first ? std::vector<std::string>{"a " + forged, "b " + entry_of({})}
                          : std::vector<std::string>{"a " + entry_of({}), "b " + forged};
-        const auto decoded = decode_servers(1, lines, peer_port, {"s1", "s2"});
+        const auto decoded = decode(lines, {"s1", "s2"});
         REQUIRE(decoded);
         REQUIRE(decoded->hosts_->hosts_.size() == 1);
         CHECK(decoded->hosts_->hosts_.front().targets_.front().service_ == "s1");
@@ -263,8 +270,7 @@
         static_cast<void>(decode_watch(mutate(response)));
         static_cast<void>(decode_config(mutate(configuration), {}));
         const std::string odd = mutate(entry_of({.address_ = R"("10.1.0.7:8080")"}));
-        const auto decoded =
-            decode_servers(1, {"good " + entry_of({}), "odd " + odd}, peer_port, {"s1"});
+        const auto decoded = decode({"good " + entry_of({}), "odd " + odd}, {"s1"});
         REQUIRE(decoded);
         REQUIRE(config::find_host(*decoded->hosts_, "10.1.0.9") != nullptr);
         CHECK(config::find_host(*decoded->hosts_, "10.1.0.9")->targets_.front().name_ == "good");
