--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -10,6 +10,11 @@
 // Number of hosts picked at random for version requests, for each list of hosts and round.
 constexpr std::size_t sampled_hosts = 2;
 constexpr base::duration min_pull_interval = base::milliseconds(300);
+// A newer version is pulled from a peer only if the platform has not delivered it by itself within
+// this time. Whole configurations are large, and bytes between zones are dear.
+constexpr base::duration platform_lead = base::milliseconds(900);
+// Further delay of a pull from another zone, in which a peer of the own zone may offer the version.
+constexpr base::duration other_zone_delay = base::milliseconds(250);
 constexpr base::duration pending_request_expiry = base::seconds(10);
 // Time after which a process with a configuration serves even if it could not compare it with its
 // peers.
@@ -140,9 +145,10 @@
     peers_.send(peer, frame);
 }
 
-wire::view_answer gossip::on_view_request(const wire::view_question& request,
+wire::view_answer gossip::on_view_request(const std::string& peer,
+                                          const wire::view_question& request,
                                           const frame_sender& send_reply) {
-    on_versions(request.versions, send_reply);
+    on_versions(peer, request.versions, send_reply);
     wire::view_answer reply;
     reply.nonce = request.nonce;
     reply.versions = versions();
@@ -160,32 +166,51 @@
     policy::record_exchange(view_, peer, {requested_at, reply.versions.hosts});
     // The peer measured the age after the request was sent, so the platform's confirmation is not
     // older than that age before the request.
-    const bool in_zone =
-        std::find(view_.members_.begin(), view_.members_.end(), peer) != view_.members_.end();
-    other_zone_replied_ = other_zone_replied_ || !in_zone;
+    other_zone_replied_ = other_zone_replied_ || !is_in_zone(peer);
     configuration_.confirm(requested_at - base::milliseconds(reply.versions.confirmed_age_ms));
-    on_versions(reply.versions, send_reply);
+    on_versions(peer, reply.versions, send_reply);
 }
 
-void gossip::on_versions(const wire::config_versions& seen, const frame_sender& send_reply) {
+bool gossip::is_in_zone(const std::string& host) const {
+    return std::find(view_.members_.begin(), view_.members_.end(), host) != view_.members_.end();
+}
+
+base::duration gossip::pull_delay(const std::string& peer) const {
+    const bool platform_delivers = !options_.strict_ && !platform_failing_;
+    const base::duration lead = platform_delivers ? platform_lead : base::duration::zero();
+    return options_.strict_ || is_in_zone(peer) ? lead : lead + other_zone_delay;
+}
+
+void gossip::on_versions(const std::string& peer, const wire::config_versions& seen,
+                         const frame_sender& send_reply) {
     policy::observe_version(view_, seen.hosts);
     newest_rules_seen_ = std::max(newest_rules_seen_, seen.rules);
-    pull_if_behind(config_value_kind::rules, seen.rules, send_reply);
-    pull_if_behind(config_value_kind::hosts, seen.hosts, send_reply);
+    pull_if_behind(config_value_kind::rules, seen.rules, peer, send_reply);
+    pull_if_behind(config_value_kind::hosts, seen.hosts, peer, send_reply);
 }
 
-void gossip::pull_if_behind(config_value_kind kind, std::int64_t version,
+void gossip::pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                             const frame_sender& send_reply) {
     const std::int64_t current = configuration_.version(kind);
     const base::instant now = clock_.now();
-    base::instant& last_pull = pulled_at_[kind == config_value_kind::rules ? 0 : 1];
-    if (version <= current || now - last_pull < min_pull_interval) {
+    pull_state& pull = pulls_[kind == config_value_kind::rules ? 0 : 1];
+    if (version <= current) {
         return;
     }
-    last_pull = now;
+    if (!pull.behind_since_) {
+        pull.behind_since_ = now;
+    }
+    if (now - *pull.behind_since_ < pull_delay(peer) || now - pull.pulled_at_ < min_pull_interval) {
+        return;
+    }
+    pull.pulled_at_ = now;
     send_reply(make_pull(kind, current));
 }
 
+void gossip::on_accepted(config_value_kind kind) {
+    pulls_[kind == config_value_kind::rules ? 0 : 1].behind_since_.reset();
+}
+
 void gossip::on_pull(const wire::config_pull& pull, const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(pull.value);
     if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -39,9 +39,12 @@
     // Must be called whenever a new host list is in force.
     void on_hosts_changed();
 
+    // Must be called after each accepted version.
+    void on_accepted(config_value_kind kind);
+
     // Handlers for messages of peers. on_view_request returns the reply to the request, on_update
     // what became of the offered version.
-    wire::view_answer on_view_request(const wire::view_question& request,
+    wire::view_answer on_view_request(const std::string& peer, const wire::view_question& request,
                                       const frame_sender& send_reply);
     void on_view_reply(const std::string& peer, const wire::view_answer& reply,
                        const frame_sender& send_reply);
@@ -49,8 +52,13 @@
     offer_outcome on_update(const wire::config_update& update, const frame_sender& send_reply);
 
     // Records the versions that a peer sent with any message, and pulls those that are newer than
-    // the versions in force.
-    void on_versions(const wire::config_versions& seen, const frame_sender& send_reply);
+    // the versions in force. A host that has the platform waits a moment, because it is about to
+    // read them itself; one that has not waits for a peer of its zone first.
+    void on_versions(const std::string& peer, const wire::config_versions& seen,
+                     const frame_sender& send_reply);
+
+    // Records whether the last request to the platform failed.
+    void set_platform_failing(bool failing) { platform_failing_ = failing; }
 
     // Sends the version requests that are due. `platform_available` is false while the platform
     // does not reply.
@@ -77,8 +85,17 @@
 
     void request_view(const std::string& peer);
     void request_some_views(const std::vector<std::string>& hosts);
-    void pull_if_behind(config_value_kind kind, std::int64_t version,
+    // What is known of newer versions of one value.
+    struct pull_state {
+        base::instant pulled_at_{};
+        // Since when a newer version than the one in force is known; empty if none is.
+        std::optional<base::instant> behind_since_;
+    };
+
+    void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
+    bool is_in_zone(const std::string& host) const;
+    base::duration pull_delay(const std::string& peer) const;
 
     const base::runtime_clock& clock_;
     configuration& configuration_;
@@ -96,8 +113,9 @@
     std::int64_t newest_rules_seen_ = 0;
     bool other_zone_replied_ = false;
     bool synchronized_ = false;
-    // Time of the last pull of the rules and of the host list.
-    base::instant pulled_at_[2] = {};
+    bool platform_failing_ = false;
+    // Of the rules and of the host list.
+    pull_state pulls_[2];
 };
 
 }  // namespace dandelionridge::control
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -188,9 +188,13 @@
         configuration_.confirm(confirmed_at);
     };
     callbacks.failed_ = [this](const base::error& error) {
+        gossip_.set_platform_failing(true);
         record("platform_failed", {{"error", error.message_}});
     };
-    callbacks.recovered_ = [this] { record("platform_answers", {}); };
+    callbacks.recovered_ = [this] {
+        gossip_.set_platform_failing(false);
+        record("platform_answers", {});
+    };
     callbacks.hold_changed_ = [this](const control::platform_hold& hold) { on_hold(hold); };
     feed_ = environment_.make_feed_(*loop_, settings_, std::move(callbacks));
 }
@@ -210,6 +214,7 @@
 }
 
 void node::on_accepted(control::config_value_kind kind) {
+    gossip_.on_accepted(kind);
     if (kind == control::config_value_kind::hosts) {
         gossip_.on_hosts_changed();
         links_->update_hosts(*configuration_.hosts());
@@ -334,14 +339,14 @@
 void node::on_peer_versions(const std::string& peer, const wire::config_versions& versions,
                             const control::frame_sender& reply) {
     links_->on_peer_connected(peer);
-    gossip_.on_versions(versions, reply);
+    gossip_.on_versions(peer, versions, reply);
 }
 
 void node::on_control_frame(const std::string& peer, wire::frame&& frame,
                             const control::frame_sender& reply) {
     wire::frame reply_frame;
     if (frame.__isset.view_question_) {
-        reply_frame.__set_view_answer_(gossip_.on_view_request(frame.view_question_, reply));
+        reply_frame.__set_view_answer_(gossip_.on_view_request(peer, frame.view_question_, reply));
         reply(reply_frame);
     } else if (frame.__isset.view_answer_) {
         gossip_.on_view_reply(peer, frame.view_answer_, reply);
