--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -216,6 +216,8 @@
     reader.time("times", "drain_idle", parsed.drain_idle_);
     reader.time("times", "freshness_bound", parsed.freshness_bound_);
     reader.time("times", "watch_wait", parsed.watch_wait_);
+    reader.time("times", "rules_bound", parsed.rules_bound_);
+    reader.time("times", "leaving_bound", parsed.leaving_bound_);
     reader.time("times", "view_bound", parsed.view_bound_);
     bool use_store = false;
     reader.choice("platform", "form", "store", "values", use_store);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -56,6 +56,10 @@
     // Maximum age of what is known of a host's versions; they are requested several times within
     // it.
     base::duration view_bound_ = base::seconds(2);
+    // Time within which a change of the rules is to be in force on every host, and within which a
+    // target that the platform shows as leaving is to get no more requests.
+    base::duration rules_bound_ = base::seconds(1);
+    base::duration leaving_bound_ = base::seconds(1);
     // Maximum wait of one watch request to the platform.
     base::duration watch_wait_ = base::seconds(2);
     // [retries]
