Find hanging runs before their deadlines, and send overdue reads elsewhere

The target proxy counts a run as a failure of its target once it takes three times the expected duration of its kind, once for each run, unless a call that the target made failed meanwhile. The caller proxy sends an idempotent request to another target after four times the expected duration, if route, time and retry budget allow it, and not if it waits for a slot: that is load. A non-idempotent request is never sent again.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -90,7 +90,8 @@
       exchange_(exchange),
       request_id_(request_id_of(request, owner.random_)),
       started_at_(owner.dependencies_.loop_.clock().now()),
-      deadline_timer_(owner.dependencies_.loop_) {
+      deadline_timer_(owner.dependencies_.loop_),
+      overdue_timer_(owner.dependencies_.loop_) {
     context_.rules_ = owner.dependencies_.configuration_.rules();
     context_.request_ = std::move(request);
     context_.headers_ = &owner.dependencies_.headers_;
@@ -226,6 +227,7 @@
     attempt_ = std::make_unique<current_attempt>();
     attempt_->link_ = &owner_.dependencies_.links_.link_to(*chosen.host_);
     attempt_->target_ = chosen.target_->name_;
+    attempt_->run_duration_ = chosen.run_duration_;
     attempt_->target_started_ms_ = chosen.target_->started_ms_;
     owner_.views_.begin_attempt(attempt_->target_);
     peer_link& link = *attempt_->link_;
@@ -306,6 +308,7 @@
         return;
     }
     const std::unique_ptr<current_attempt> abandoned = std::move(attempt_);
+    overdue_timer_.cancel();
     abandoned->link_->cancel(*this);
     owner_.views_.end_attempt(abandoned->target_);
 }
@@ -321,9 +324,50 @@
     attempt_->id_ = attempt;
     attempt_->written_ = true;
     attempt_->credit_ = request_window_bytes;
+    // A request that waits for a slot takes long because of the load, which another attempt raises.
+    if (context_.idempotent_ && !may_wait_ && attempt_->run_duration_ > base::duration::zero()) {
+        overdue_timer_.start(policy::overdue_after(attempt_->run_duration_),
+                             [this] { on_overdue(); });
+    }
     send_pending_body();
 }
 
+// Gives up the attempt in progress for one at another target, if the retry budget allows it.
+void call::on_overdue() {
+    if (attempt_ == nullptr || head_sent_ || holding_failure_) {
+        return;
+    }
+    policy::retry_context retry;
+    retry.outcome_ = policy::attempt_outcome::unknown;
+    retry.idempotent_ = context_.idempotent_;
+    retry.replayable_ = replayable();
+    retry.attempts_ = attempts_ + 1;
+    retry.max_attempts_ = context_.route_->attempts_;
+    retry.nested_ = nested_;
+    retry.time_left_ = time_left();
+    const auto other = owner_.choose(context_.service_->name_, criteria(), targets_used());
+    retry.other_target_ = other && !other->allow_ejected_;
+    retry.run_duration_ = other ? other->run_duration_ : base::duration::zero();
+    const policy::retry_decision decision =
+        policy::decide_retry(owner_.retry_budgets_[context_.service_->name_], owner_.retry_limits(),
+                             retry, owner_.dependencies_.loop_.clock().now());
+    if (decision != policy::retry_decision::retry) {
+        return;
+    }
+    record_event("overdue", attempt_->target_, time_left());
+    owner_.dependencies_.metrics_.count_retry();
+    may_have_run_ = true;
+    exclude_target();
+    send_attempt(*other);
+}
+
+// Returns the targets that no other attempt may use, with that of the attempt in progress.
+std::set<std::string> call::targets_used() const {
+    std::set<std::string> used = tried_targets_;
+    used.insert(attempt_->target_);
+    return used;
+}
+
 void call::on_refused(const wire::attempt_refused& refusal) {
     if (refusal.__isset.report) {
         owner_.record_report(refusal.report);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -55,6 +55,8 @@
     struct current_attempt {
         peer_link* link_ = nullptr;
         std::string target_;
+        // Expected duration of the run; zero if unknown.
+        base::duration run_duration_{};
         // Start of the target in milliseconds since 1970; 0 if unknown.
         std::int64_t target_started_ms_ = 0;
         // Valid once `written_` is set.
@@ -83,6 +85,8 @@
     void start_attempt();
     void send_attempt(const chosen_target& chosen);
     bool resend_to_target();
+    void on_overdue();
+    std::set<std::string> targets_used() const;
     std::optional<chosen_target> choose();
     wire::attempt_begin make_attempt_begin(const chosen_target& chosen) const;
     void add_headers(wire::attempt_begin& begin) const;
@@ -119,6 +123,8 @@
     base::instant started_at_;
     base::instant deadline_{};
     net::timer deadline_timer_;
+    // Expires when the attempt in progress takes far longer than expected.
+    net::timer overdue_timer_;
     std::unique_ptr<current_attempt> attempt_;
     // Targets that no further attempt uses: they received the request, refused it for a reason
     // other than being busy, or could not be reached.
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -168,6 +168,9 @@
     void fail(target_proxy_attempt& attempt, wire::failure_reason reason);
     void record_run(target_state& target, const target_proxy_attempt& attempt,
                     attempt_result result);
+    bool is_overdue(const target_state& target, const target_proxy_attempt& attempt) const;
+    void record_overdue_runs();
+    void record_outcome(target_state& target, policy::run_outcome outcome);
     bool failed_by_target(const target_proxy_attempt& attempt, attempt_result result) const;
     wire::target_report make_report(const target_state& target) const;
     void record_health_change(const target_state& target);
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -123,6 +123,11 @@
     void discard_response() { response_discarded_ = true; }
     bool response_discarded() const { return response_discarded_; }
 
+    // Marks the run as counted against its target because it takes far too long. Its end then
+    // counts only if it succeeds.
+    void set_overdue() { overdue_ = true; }
+    bool overdue() const { return overdue_; }
+
     const policy::ledger_key& key() const { return key_; }
     const wire::attempt_begin& begin() const { return begin_; }
     const collected_response& response() const { return response_; }
@@ -184,6 +189,7 @@
     // Address of the target, as text; the key of its state in the target proxy.
     std::string target_key_;
     bool response_discarded_ = false;
+    bool overdue_ = false;
     bool finished_ = false;
     collected_response response_;
 };
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -14,9 +14,9 @@
 constexpr base::duration check_interval = base::milliseconds(100);
 // Expected duration of a run until a first one has ended.
 constexpr base::duration default_run_duration = base::milliseconds(300);
-// A run that timed out or was cancelled counts as a failure of its target if it took more than
-// this many times the expected duration.
-constexpr int hung_run_factor = 3;
+// A run that has not ended counts as a failure of its target once it takes more than this many
+// times the expected duration.
+constexpr int overdue_run_factor = 3;
 constexpr int min_server_error_status = 500;
 // A caller proxy counts as a user of this host's targets for this time after an attempt.
 constexpr base::duration recent_use = base::seconds(5);
@@ -51,12 +51,39 @@
     return target;
 }
 
+// Returns true if a run in progress takes so long that its target probably fails it. A call that
+// the target made may be the cause if it failed since the run began.
+bool target_proxy::is_overdue(const target_state& target,
+                              const target_proxy_attempt& attempt) const {
+    const base::duration expected = policy::expected_run_duration(
+        target.run_estimates_, kind_of(attempt.begin()), default_run_duration);
+    return loop_.clock().now() - attempt.run_started_at() > overdue_run_factor * expected &&
+           last_failed_call_at_ < attempt.run_started_at();
+}
+
+// Counts each run that has become overdue as a failure of its target, so that a target that hangs
+// is found before the deadlines of its runs.
+void target_proxy::record_overdue_runs() {
+    for (const auto& [key, attempt] : attempts_) {
+        const auto target = targets_.find(attempt->target_key());
+        if (attempt->running() && !attempt->overdue() && target != targets_.end() &&
+            target->second.name_ == attempt->begin().target_name &&
+            is_overdue(target->second, *attempt)) {
+            attempt->set_overdue();
+            record_outcome(target->second, policy::run_outcome::failed);
+        }
+    }
+}
+
 // Returns true if the outcome of a run counts as a failure of its target. Server errors, timeouts
 // and cancelled runs do not count if a call that the target made failed since the run began,
 // because that call may be the cause.
 bool target_proxy::failed_by_target(const target_proxy_attempt& attempt,
                                     attempt_result result) const {
-    const base::duration elapsed = loop_.clock().now() - attempt.run_started_at();
+    if (attempt.overdue()) {
+        // Counted already, when it became overdue.
+        return false;
+    }
     switch (result) {
         case attempt_result::responded:
             return attempt.response().head_.status >= min_server_error_status &&
@@ -64,13 +91,8 @@
         case attempt_result::invalid_response:
             return true;
         case attempt_result::timed_out:
-        case attempt_result::cancelled: {
-            const auto target = targets_.find(attempt.target_key());
-            const base::duration expected = policy::expected_run_duration(
-                target->second.run_estimates_, kind_of(attempt.begin()), default_run_duration);
-            return elapsed > hung_run_factor * expected &&
-                   last_failed_call_at_ < attempt.run_started_at();
-        }
+        case attempt_result::cancelled:
+            return is_overdue(targets_.at(attempt.target_key()), attempt);
         case attempt_result::not_run:
         case attempt_result::connection_lost:
             break;
@@ -82,20 +104,22 @@
 // is neither a success nor a failure of the target only ends a trial.
 void target_proxy::record_run(target_state& target, const target_proxy_attempt& attempt,
                               attempt_result result) {
-    const base::instant now = loop_.clock().now();
     const bool failed = failed_by_target(attempt, result);
     const bool succeeded = result == attempt_result::responded &&
                            attempt.response().head_.status < min_server_error_status;
     if (succeeded) {
         policy::record_run(target.run_estimates_, kind_of(attempt.begin()),
-                           now - attempt.run_started_at());
+                           loop_.clock().now() - attempt.run_started_at());
     }
     if (!failed && !succeeded) {
         policy::end_trial(target.health_);
         return;
     }
-    const auto outcome = failed ? policy::run_outcome::failed : policy::run_outcome::succeeded;
-    if (policy::record_outcome(target.health_, outcome, now)) {
+    record_outcome(target, failed ? policy::run_outcome::failed : policy::run_outcome::succeeded);
+}
+
+void target_proxy::record_outcome(target_state& target, policy::run_outcome outcome) {
+    if (policy::record_outcome(target.health_, outcome, loop_.clock().now())) {
         record_health_change(target);
     }
 }
@@ -273,6 +297,7 @@
 // queues. Runs periodically.
 void target_proxy::check_targets() {
     const base::instant now = loop_.clock().now();
+    record_overdue_runs();
     std::vector<std::string> queued_target_keys;
     for (auto& [key, target] : targets_) {
         if (policy::update_health(target.health_, now)) {
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -1,11 +1,18 @@
 #include "policy/retry.h"
 
+#include <algorithm>
+
 namespace dandelionridge::policy {
 
 namespace {
 
 constexpr int intervals_per_window = 20;
 
+// Multiple of the expected duration that few runs of a sound target exceed.
+constexpr int overdue_factor = 4;
+// Shorter delays are due to chance.
+constexpr base::duration min_overdue_delay = base::milliseconds(200);
+
 // Share of the budget that only nested requests may use.
 constexpr double nested_reserve_share = 0.3;
 
@@ -48,6 +55,10 @@
     interval.retries_ += repeat_probability;
 }
 
+base::duration overdue_after(base::duration run_duration) {
+    return std::max(overdue_factor * run_duration, min_overdue_delay);
+}
+
 double usable_budget_share(bool nested) {
     return nested ? 1 : 1 - nested_reserve_share;
 }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -73,6 +73,10 @@
     base::duration run_duration_{};
 };
 
+// Returns the time after which an idempotent request is better sent to another target, given the
+// expected duration of its run at the present one.
+base::duration overdue_after(base::duration run_duration);
+
 // Returns the share of the budget that a request may use: some of it is reserved for nested ones.
 double usable_budget_share(bool nested);
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -502,3 +502,8 @@
     observe_version(view, 4);
     CHECK(latest_majority_agreement(view, now) == base::instant{});
 }
+
+TEST_CASE("a request is overdue only beyond what chance explains", "[policy][retry]") {
+    CHECK(policy::overdue_after(base::milliseconds(700)) == base::milliseconds(2800));
+    CHECK(policy::overdue_after(base::milliseconds(5)) == base::milliseconds(200));
+}
