--- a/src/config/rule_fields.cpp
+++ b/src/config/rule_fields.cpp
@@ -36,6 +36,16 @@
 
 }  // namespace
 
+// Parses digits with at most one decimal point. Signs and exponents are not allowed.
+std::optional<double> parse_decimal(std::string_view text) {
+    double value = 0;
+    const auto [end, code] =
+        std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool starts_with_digit = !text.empty() && text.front() >= '0' && text.front() <= '9';
+    const bool whole = code == std::errc() && end == text.data() + text.size();
+    return starts_with_digit && whole ? std::optional(value) : std::nullopt;
+}
+
 std::optional<base::duration> parse_duration(std::string_view text) {
     struct unit {
         std::string_view suffix_;
@@ -50,11 +60,11 @@
         if (!text.ends_with(known_unit.suffix_)) {
             continue;
         }
-        const auto count = parse_integer(text.substr(0, text.size() - known_unit.suffix_.size()));
-        if (count && *count > 0 && *count <= 1'000'000) {
-            return *count * known_unit.length_;
+        const auto count = parse_decimal(text.substr(0, text.size() - known_unit.suffix_.size()));
+        if (!count || *count <= 0 || *count > 1'000'000) {
+            return std::nullopt;
         }
-        return std::nullopt;
+        return std::chrono::duration_cast<base::duration>(*count * known_unit.length_);
     }
     return std::nullopt;
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <INIReader.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -16,6 +17,9 @@
 
 constexpr double max_slack = 1'000'000;
 
+// Changes are gathered for this part (one in gather_divisor) of their bound.
+constexpr int gather_divisor = 4;
+
 // Reads the values of keys from a settings file and keeps the first error.
 class settings_reader {
 public:
@@ -200,6 +204,10 @@
 
 }  // namespace
 
+base::duration gather_time(const settings& settings) {
+    return std::min(settings.rules_bound_, settings.leaving_bound_) / gather_divisor;
+}
+
 base::result<settings> parse_settings(const std::string& text, const std::string& name) {
     settings parsed;
     settings_reader reader(text, name);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -82,6 +82,10 @@
     double min_share_ = 0.7;
 };
 
+// Returns the time for which changes on the platform are gathered before they are read: a part of
+// the time within which they are to be in force.
+base::duration gather_time(const settings& settings);
+
 // Reads a settings file. The error names the file, the key and the remedy.
 base::result<settings> read_settings(const std::string& file);
 
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -10,9 +10,6 @@
 // Number of hosts picked at random for version requests, for each list of hosts and round.
 constexpr std::size_t sampled_hosts = 2;
 constexpr base::duration min_pull_interval = base::milliseconds(300);
-// A newer version is pulled from a peer only if the platform has not delivered it by itself within
-// this time. Whole configurations are large, and bytes between zones are dear.
-constexpr base::duration platform_lead = base::milliseconds(900);
 // Further delay of a pull from another zone, in which a peer of the own zone may offer the version.
 constexpr base::duration other_zone_delay = base::milliseconds(250);
 constexpr base::duration pending_request_expiry = base::seconds(10);
@@ -176,9 +173,13 @@
 }
 
 base::duration gossip::pull_delay(const std::string& peer) const {
-    const bool platform_delivers = !options_.strict_ && !platform_failing_;
-    const base::duration lead = platform_delivers ? platform_lead : base::duration::zero();
-    return options_.strict_ || is_in_zone(peer) ? lead : lead + other_zone_delay;
+    if (options_.strict_) {
+        return base::duration::zero();
+    }
+    if (!platform_failing_) {
+        return options_.platform_lead_;
+    }
+    return is_in_zone(peer) ? base::duration::zero() : other_zone_delay;
 }
 
 void gossip::on_versions(const std::string& peer, const wire::config_versions& seen,
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -29,6 +29,9 @@
     // True: keyed routes depend on a recent view, so all hosts of the zone are polled all the time.
     // False: a few hosts are polled, and only while the platform is unavailable.
     bool strict_ = true;
+    // Time within which the platform usually delivers a version that a peer has already. Only then
+    // is it pulled from the peer: whole configurations are large, and bytes between zones are dear.
+    base::duration platform_lead_{};
 };
 
 class gossip {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,8 @@
 // Number of times that each host of the zone is asked for its versions within `view_bound_`, which
 // is the maximum age of the replies.
 constexpr int view_requests_per_bound = 4;
+// Time that a change takes from the platform to a host whose watch is waiting, at most.
+constexpr base::duration platform_lead_margin = base::milliseconds(100);
 constexpr base::duration drain_check_interval = base::milliseconds(50);
 // The process ends after more than this many consecutive checks that found nothing in flight.
 constexpr int flush_checks = 2;
@@ -88,7 +90,7 @@
       recorded_hosts_(configuration_.hosts()),
       gossip_(clock, configuration_, *this,
               {settings_.host_, settings_.zone_, settings_.view_bound_ / view_requests_per_bound,
-               settings_.strict_freshness_}),
+               settings_.strict_freshness_, config::gather_time(settings_) + platform_lead_margin}),
       quota_(clock, configuration_, *this, settings_.host_,
              {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}) {}
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "config/host_list.h"
 #include "config/host_list_changes.h"
+#include "config/rule_fields.h"
 #include "config/rule_parser.h"
 #include "config/settings.h"
 #include "config/versioned_lines.h"
@@ -309,3 +310,27 @@
         CHECK(values.shared_version(hosts) == 7);
     }
 }
+
+TEST_CASE("the time for which changes are gathered follows the bounds of the deployment",
+          "[settings]") {
+    settings parsed;
+    parsed.rules_bound_ = base::seconds(2);
+    parsed.leaving_bound_ = base::seconds(3);
+    const base::duration gather = gather_time(parsed);
+    CHECK(gather <= base::seconds(1));
+    parsed.rules_bound_ *= 2;
+    parsed.leaving_bound_ *= 2;
+    CHECK(gather_time(parsed) == 2 * gather);
+}
+
+// Guards against: a deployment whose bounds are not whole seconds, where no process started.
+TEST_CASE("durations may have a fraction", "[settings]") {
+    CHECK(parse_duration("2.5s") == base::duration(base::milliseconds(2500)));
+    CHECK(parse_duration("0.25s") == base::duration(base::milliseconds(250)));
+    CHECK(parse_duration("6s") == base::duration(base::seconds(6)));
+    for (const char* text : {"", "s", "2", ".5s", "-1s", "+1s", "1e3s", "2.5.1s", "nans", "infs",
+                             "0s", "0.0s", "1 s", "9999999s"}) {
+        INFO(text);
+        CHECK_FALSE(parse_duration(text));
+    }
+}
