Count a run in progress against its target only after five times its expected duration

The differences are within what plays differ by, but the direction is that of false ejections: runs that wait for their own calls take several times the usual duration when many do.

Five times while the run is in progress; three times as before once its deadline has passed or its caller has given it up, which a read's caller proxy does after four times.

--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -168,7 +168,8 @@
     void fail(target_proxy_attempt& attempt, wire::failure_reason reason);
     void record_run(target_state& target, const target_proxy_attempt& attempt,
                     attempt_result result);
-    bool is_overdue(const target_state& target, const target_proxy_attempt& attempt) const;
+    bool is_overdue(const target_state& target, const target_proxy_attempt& attempt,
+                    int factor) const;
     void record_overdue_runs();
     void record_outcome(target_state& target, policy::run_outcome outcome);
     bool failed_by_target(const target_proxy_attempt& attempt, attempt_result result) const;
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -14,9 +14,11 @@
 constexpr base::duration check_interval = base::milliseconds(100);
 // Expected duration of a run until a first one has ended.
 constexpr base::duration default_run_duration = base::milliseconds(300);
-// A run that has not ended counts as a failure of its target once it takes more than this many
-// times the expected duration.
-constexpr int overdue_run_factor = 3;
+// A run without a response counts as a failure of its target if it took more than this many times
+// the expected duration: once its deadline has passed or its caller has given it up, and while it
+// still runs. Some sound runs take long, so the latter needs more.
+constexpr int overdue_end_factor = 3;
+constexpr int overdue_run_factor = 5;
 constexpr int min_server_error_status = 500;
 // A caller proxy counts as a user of this host's targets for this time after an attempt.
 constexpr base::duration recent_use = base::seconds(5);
@@ -51,13 +53,13 @@
     return target;
 }
 
-// Returns true if a run in progress takes so long that its target probably fails it. A call that
-// the target made may be the cause if it failed since the run began.
-bool target_proxy::is_overdue(const target_state& target,
-                              const target_proxy_attempt& attempt) const {
+// Returns true if a run has taken more than `factor` times the expected duration, and no call that
+// its target made has failed since it began: such a call may be the cause.
+bool target_proxy::is_overdue(const target_state& target, const target_proxy_attempt& attempt,
+                              int factor) const {
     const base::duration expected = policy::expected_run_duration(
         target.run_estimates_, kind_of(attempt.begin()), default_run_duration);
-    return loop_.clock().now() - attempt.run_started_at() > overdue_run_factor * expected &&
+    return loop_.clock().now() - attempt.run_started_at() > factor * expected &&
            last_failed_call_at_ < attempt.run_started_at();
 }
 
@@ -68,7 +70,7 @@
         const auto target = targets_.find(attempt->target_key());
         if (attempt->running() && !attempt->overdue() && target != targets_.end() &&
             target->second.name_ == attempt->begin().target_name &&
-            is_overdue(target->second, *attempt)) {
+            is_overdue(target->second, *attempt, overdue_run_factor)) {
             attempt->set_overdue();
             record_outcome(target->second, policy::run_outcome::failed);
         }
@@ -92,7 +94,7 @@
             return true;
         case attempt_result::timed_out:
         case attempt_result::cancelled:
-            return is_overdue(targets_.at(attempt.target_key()), attempt);
+            return is_overdue(targets_.at(attempt.target_key()), attempt, overdue_end_factor);
         case attempt_result::not_run:
         case attempt_result::connection_lost:
             break;
