Deliver the response to a request that cannot be read

The response 400, 408, 413 or 431 was queued and the connection removed in the same step. Closing a connection on which unread bytes arrive resets it, so the caller lost the response; "connection: close" was set as a header that the writer drops.

After such a response the connection stays for a second, in which further bytes are read and discarded, unless the caller closes it. The head says that the connection closes. byte_socket::close_after_sending had no other user and goes.

--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -129,16 +129,8 @@
     }
 }
 
-void byte_socket::close_after_sending() {
-    if (unsent() == 0) {
-        close();
-        return;
-    }
-    close_when_sent_ = true;
-}
-
 void byte_socket::send(std::string_view bytes) {
-    if (wsi_ == nullptr || close_when_sent_) {
+    if (wsi_ == nullptr) {
         return;
     }
     output_.append(bytes);
@@ -231,10 +223,6 @@
     if (lws_get_opaque_user_data(wsi) == nullptr) {
         return close_now;
     }
-    if (unsent() == 0 && close_when_sent_) {
-        close();
-        return close_now;
-    }
     if (unsent() > 0) {
         // libwebsockets loses a request for a writable event that is made from within its own
         // callback, so a timer makes it.
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -65,15 +65,12 @@
     byte_socket& operator=(const byte_socket&) = delete;
     ~byte_socket();
 
-    // Queues bytes for sending. Discards them if the socket is closed or closing.
+    // Queues bytes for sending. Discards them if the socket is closed.
     void send(std::string_view bytes);
 
     // Closes the connection at once and discards unsent bytes.
     void close();
 
-    // Closes the connection once all queued bytes have been sent.
-    void close_after_sending();
-
     // Sends all further events to `events`.
     void set_events(byte_socket_events& events) { events_ = &events; }
 
@@ -113,7 +110,6 @@
     std::size_t written_ = 0;
     keepalive_options keepalive_;
     bool open_ = false;
-    bool close_when_sent_ = false;
 };
 
 // Listens on an address and hands each new connection to the owner's callback.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -17,6 +17,9 @@
 // connection that exceeds this is closed.
 constexpr std::size_t max_pending_bytes = 128 * 1024;
 
+// Time for which a caller may go on sending a request that was refused because it cannot be read.
+constexpr base::duration refused_linger_time = base::seconds(1);
+
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -63,7 +66,7 @@
 }
 
 void server_connection::on_bytes(std::string_view bytes) {
-    if (dropped_) {
+    if (dropped_ || refused_) {
         return;
     }
     pending_.append(bytes);
@@ -90,7 +93,7 @@
 }
 
 void server_connection::handle_reader_state() {
-    if (dropped_) {
+    if (dropped_ || refused_) {
         return;
     }
     switch (reader_->state()) {
@@ -117,22 +120,24 @@
     }
 }
 
-// Sends an error response and closes the connection. If the request already has a handler, closes
-// the connection at once, which aborts its exchange.
+// Sends an error response, after which the caller closes the connection. What it still sends is
+// read and discarded for a while: closing a connection with unread bytes resets it, and the
+// response may be lost. If the request already has a handler, closes the connection at once, which
+// aborts its exchange.
 void server_connection::refuse(int status, std::string_view message) {
     if (handler_ != nullptr) {
         drop();
         return;
     }
-    timer_.cancel();
     http_response response;
     response.status_ = status;
     response.length_ = message.size();
-    response.headers_ = {{"content-type", "text/plain"}, {"connection", "close"}};
-    socket_->send(response_head_text(response, false) + std::string(message));
-    dropped_ = true;
-    socket_->close_after_sending();
-    server_.remove_connection(*this);
+    response.headers_ = {{"content-type", "text/plain"}};
+    constexpr bool close = true;
+    socket_->send(response_head_text(response, close) + std::string(message));
+    refused_ = true;
+    pending_.clear();
+    timer_.start(refused_linger_time, [this] { drop(); });
 }
 
 void server_connection::on_request_head(http_request&& request) {
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -76,6 +76,8 @@
     bool finished_ = false;
     bool close_after_response_ = false;
     bool dropped_ = false;
+    // An error response was sent because the request cannot be read; further bytes are discarded.
+    bool refused_ = false;
 };
 
 }  // namespace dandelionridge::net
--- a/tests/process_drain_test.cpp
+++ b/tests/process_drain_test.cpp
@@ -23,6 +23,7 @@
     }
     // The processes learn how long runs take.
     std::vector<std::future<caller_response>> responses;
+    responses.reserve(request_count);
     for (int i = 0; i < 12; ++i) {
         responses.push_back(send_in_background(fleet.request_to(
             "orders", 1, "first-" + std::to_string(i), i % 2 == 0 ? "GET" : "POST")));
--- a/tests/process_odd_entry_test.cpp
+++ b/tests/process_odd_entry_test.cpp
@@ -150,3 +150,20 @@
     CHECK(caller.send(failing).status_ >= 500);
     CHECK_FALSE(fleet.host(1).ended());
 }
+
+// Guards against: the response to a request that cannot be read was lost, because the connection
+// was closed while the caller still sent.
+TEST_CASE("a caller with too large a head gets its response", "[odd-entry]") {
+    store_fleet fleet({"orders"});
+    fleet.start_all();
+    constexpr std::size_t head_bytes = 400'000;
+    for (int i = 0; i < 20; ++i) {
+        caller caller;
+        caller_request request = fleet.request_to("orders", 1, "a", "GET");
+        request.headers_.push_back("X-Large: " + std::string(head_bytes, 'x'));
+        const caller_response response = caller.send(request);
+        CHECK(response.status_ == 431);
+        CHECK(response.complete_);
+        CHECK(response.header("connection") == "close");
+    }
+}
