--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -21,7 +21,7 @@
 constexpr int overdue_run_factor = 5;
 constexpr int min_server_error_status = 500;
 // A caller proxy counts as a user of this host's targets for this time after an attempt.
-constexpr base::duration recent_use = base::seconds(5);
+constexpr base::duration recent_use = base::seconds(15);
 constexpr double percent = 100;
 // Maximum number of caller proxies that are asked at a time for a request to an idle target.
 constexpr std::size_t max_probe_requests = 10;
