Leave half of the retry budget for repeated calls, and let the slack of a new process grow

And a process that replaces another one began with a whole share of the slack.

The caller proxies use half of the budget (three quarters before). A process uses 30% of its share of the slack at its start and all of it after a window.

--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -21,9 +21,9 @@
 // an older report is assumed to have received one since.
 constexpr base::duration max_idle_report_age = base::milliseconds(500);
 
-// Share of the fleet's retry budget that the caller proxies use. It is less than 1 because each
-// caller proxy counts only its own requests and retries, and the load differs between hosts.
-constexpr double budget_share = 0.75;
+// Share of the fleet's retry budget that the caller proxies use. The rest is for what none of them
+// can refuse: a repeated run repeats its calls, and the load differs between hosts.
+constexpr double budget_share = 0.5;
 
 // Returns the region of a zone, or the zone itself if no rule names it.
 std::string region_of(const config::rule_set& rules, const std::string& zone) {
@@ -54,7 +54,9 @@
 }  // namespace
 
 caller_proxy::caller_proxy(caller_proxy_dependencies dependencies)
-    : dependencies_(std::move(dependencies)), random_(base::make_random_engine()) {}
+    : dependencies_(std::move(dependencies)),
+      started_at_(dependencies_.loop_.clock().now()),
+      random_(base::make_random_engine()) {}
 
 // Destroys the server first, because the calls that end with its connections use other members.
 caller_proxy::~caller_proxy() {
@@ -168,12 +170,15 @@
 }
 
 // Returns this caller proxy's limits. The retry budget is that of the whole fleet, so each caller
-// proxy uses an equal share of the slack.
+// proxy uses an equal share of the slack, and less of it just after its start.
 policy::retry_limits caller_proxy::retry_limits() const {
     const config::settings& settings = dependencies_.settings_;
     const double host_count = std::max<double>(
         1, static_cast<double>(dependencies_.configuration_.hosts()->hosts_.size()));
-    return {settings.retry_ratio_ * budget_share, settings.retry_slack_ * budget_share / host_count,
+    const double slack_share = policy::usable_slack_share(
+        dependencies_.loop_.clock().now() - started_at_, settings.retry_window_);
+    return {settings.retry_ratio_ * budget_share,
+            settings.retry_slack_ * budget_share * slack_share / host_count,
             settings.retry_window_};
 }
 
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -151,6 +151,7 @@
     bool claim_retry(const std::string& service, bool nested);
 
     caller_proxy_dependencies dependencies_;
+    base::instant started_at_;
     base::random_engine random_;
     std::unique_ptr<net::http_server> server_;
     bool listening_ = true;
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -13,6 +13,9 @@
 // Shorter delays are due to chance.
 constexpr base::duration min_overdue_delay = base::milliseconds(200);
 
+// Part of its share of the slack that a process may use from its start.
+constexpr double initial_slack_share = 0.3;
+
 // Share of the budget that only nested requests may use.
 constexpr double nested_reserve_share = 0.3;
 
@@ -55,6 +58,14 @@
     interval.retries_ += repeat_probability;
 }
 
+double usable_slack_share(base::duration age, base::duration window) {
+    if (age >= window) {
+        return 1;
+    }
+    const double part = static_cast<double>(age.count()) / static_cast<double>(window.count());
+    return std::max(initial_slack_share, part);
+}
+
 base::duration overdue_after(base::duration run_duration) {
     return std::max(overdue_factor * run_duration, min_overdue_delay);
 }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -73,6 +73,10 @@
     base::duration run_duration_{};
 };
 
+// Returns the part of its share of the fleet's slack that a process of that age may use. The
+// process that it replaced may have used the same share within the window.
+double usable_slack_share(base::duration age, base::duration window);
+
 // Returns the time after which an idempotent request is better sent to another target, given the
 // expected duration of its run at the present one.
 base::duration overdue_after(base::duration run_duration);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -507,3 +507,18 @@
     CHECK(policy::overdue_after(base::milliseconds(700)) == base::milliseconds(2800));
     CHECK(policy::overdue_after(base::milliseconds(5)) == base::milliseconds(200));
 }
+
+// Pattern: rolling replacement. Within one window, each host's process is replaced by another one
+// that does not know what the first has used.
+TEST_CASE("processes that replace others do not use the retry slack twice", "[policy][retry]") {
+    const base::duration window = base::seconds(10);
+    // What the caller proxies of a fleet use of the slack is below this share.
+    constexpr double budget_share = 0.75;
+    // A process starts at the beginning of the window, its predecessor used the whole share.
+    double used = budget_share;
+    used += budget_share * policy::usable_slack_share(base::duration::zero(), window);
+    CHECK(used <= 1);
+    CHECK(policy::usable_slack_share(window / 2, window) == Approx(0.5));
+    CHECK(policy::usable_slack_share(window, window) == 1);
+    CHECK(policy::usable_slack_share(2 * window, window) == 1);
+}
