Split a call's attempts from its admission; look a service up in one place

The choice of targets, the attempts and what follows their end stand in call_attempts.cpp, moved as they were; caller_proxy::find_service serves both lookups. No behaviour in it.

--- /dev/null
+++ b/src/node/call_attempts.cpp
@@ -0,0 +1,405 @@
+// How a call chooses targets, sends its attempts and decides what follows the end of each.
+#include <algorithm>
+#include <utility>
+
+#include "filter/forwarded_headers.h"
+#include "net/http_writer.h"
+#include "node/call.h"
+#include "node/target_proxy_attempt.h"
+
+namespace dandelionridge::node {
+
+namespace {
+
+// Maximum wait for a target proxy whose link was lost to report the status of an attempt.
+constexpr base::duration max_resolution_wait = base::seconds(2);
+
+// Number of targets found busy after which the request may queue for a slot.
+constexpr std::size_t max_busy_targets = 3;
+// The caller is refused after more refusals by target proxies than this.
+constexpr int max_refusals = 10;
+
+// Returns the reason given to the caller for a target proxy's refusal.
+filter::reason to_reason(wire::refusal_reason reason) {
+    switch (reason) {
+        case wire::refusal_reason::key_withdrawn:
+            return filter::reason::key_invalid;
+        case wire::refusal_reason::configuration_stale:
+        case wire::refusal_reason::configuration_lag:
+            return filter::reason::configuration_stale;
+        case wire::refusal_reason::deadline:
+            return filter::reason::deadline;
+        case wire::refusal_reason::overload:
+        case wire::refusal_reason::target_busy:
+            return filter::reason::overload;
+        default:
+            return filter::reason::no_target;
+    }
+}
+
+wire::header_field make_field(std::string name, std::string value) {
+    wire::header_field field;
+    field.name = std::move(name);
+    field.value = std::move(value);
+    return field;
+}
+
+}  // namespace
+
+policy::run_kind call::run_kind() const {
+    return policy::run_kind_of(nested_, context_.route_->download_, context_.idempotent_);
+}
+
+policy::choice_criteria call::criteria() const {
+    return {context_.idempotent_, retry_available(), context_.route_->download_, run_kind(),
+            owner_.dependencies_.settings_.min_share_};
+}
+
+// Returns true if the next attempt is the first, the request is idempotent, and the retry budget
+// allows a retry if that attempt fails. On a route that allows a single attempt no request can be
+// retried, so any idempotent one may be used to probe the health of a target.
+bool call::retry_available() const {
+    if (!context_.idempotent_ || attempts_ > 0) {
+        return false;
+    }
+    return context_.route_->attempts_ == 1 || owner_.may_retry(context_.service_->name_, nested_);
+}
+
+std::optional<chosen_target> call::choose() {
+    std::set<std::string> excluded = tried_targets_;
+    excluded.insert(busy_targets_.begin(), busy_targets_.end());
+    auto chosen = owner_.choose(context_.service_->name_, criteria(), excluded);
+    if (!chosen && !busy_targets_.empty()) {
+        may_wait_ = true;
+        busy_targets_.clear();
+        chosen = owner_.choose(context_.service_->name_, criteria(), tried_targets_);
+    }
+    return chosen;
+}
+
+void call::start_attempt() {
+    const auto chosen = choose();
+    if (!chosen) {
+        if (head_sent_) {
+            abort_response();
+        } else if (held_failure_) {
+            forward_held_failure();
+        } else if (may_have_run_) {
+            refuse_unknown(filter::reason::target_failed);
+        } else {
+            refuse_not_run(filter::reason::no_target);
+        }
+        return;
+    }
+    send_attempt(*chosen);
+}
+
+void call::send_attempt(const chosen_target& chosen) {
+    attempt_ = std::make_unique<current_attempt>();
+    attempt_->link_ = &owner_.dependencies_.links_.link_to(*chosen.host_);
+    attempt_->target_ = chosen.target_->name_;
+    attempt_->run_duration_ = chosen.run_duration_;
+    attempt_->target_started_ms_ = chosen.target_->started_ms_;
+    owner_.views_.begin_attempt(attempt_->target_);
+    peer_link& link = *attempt_->link_;
+    link.start(make_attempt_begin(chosen), *this);
+}
+
+wire::attempt_begin call::make_attempt_begin(const chosen_target& chosen) const {
+    wire::attempt_begin begin;
+    begin.request_id = request_id_;
+    begin.organisation = context_.organisation_;
+    begin.key_id = context_.key_id_;
+    begin.rules_version = context_.rules_->version_;
+    begin.service_name = context_.service_->name_;
+    begin.target_name = chosen.target_->name_;
+    begin.method = context_.request_.method_;
+    begin.path = context_.request_.path_;
+    begin.deadline_ms =
+        static_cast<std::int32_t>(std::max<std::int64_t>(1, base::whole_ms(time_left())));
+    begin.idempotent = context_.idempotent_;
+    begin.caller_service = owner_.dependencies_.settings_.target_service_;
+    begin.priority = context_.priority_;
+    begin.nested = nested_;
+    begin.may_wait = may_wait_;
+    begin.allow_ejected = chosen.allow_ejected_;
+    begin.chunked_body = context_.request_.chunked_;
+    begin.download = context_.route_->download_;
+    begin.repeat = attempts_ > 0 || resent_;
+    const target_view* view = owner_.views_.find(begin.target_name);
+    if (view != nullptr && view->report_.__isset.rate_limit) {
+        begin.__set_target_rate_limit(view->report_.rate_limit);
+    }
+    const base::duration objective = context_.route_->latency_objective_;
+    if (objective > base::duration::zero()) {
+        const auto remaining_ms =
+            base::whole_ms(started_at_ + objective - owner_.dependencies_.loop_.clock().now());
+        begin.objective_ms = static_cast<std::int32_t>(remaining_ms == 0 ? -1 : remaining_ms);
+    }
+    if (context_.request_.body_length_) {
+        begin.__set_body_length(static_cast<std::int64_t>(*context_.request_.body_length_));
+    }
+    add_headers(begin);
+    return begin;
+}
+
+void call::add_headers(wire::attempt_begin& begin) const {
+    const std::vector<net::http_header>& received = context_.request_.headers_;
+    const config::header_policy& headers = owner_.dependencies_.headers_;
+    const auto copy_header = [&](const std::string& name) {
+        if (const std::string* value = net::find_header(received, name)) {
+            begin.headers.push_back(make_field(name, *value));
+        }
+    };
+    if (headers.forward_all_) {
+        for (const net::http_header& header : received) {
+            const bool replaced =
+                header.name_ == net::request_id_header || header.name_ == headers.deadline_;
+            if (!replaced && !net::is_hop_by_hop_header(header.name_)) {
+                begin.headers.push_back(make_field(header.name_, header.value_));
+            }
+        }
+    } else {
+        std::for_each(filter::request_headers().begin(), filter::request_headers().end(),
+                      copy_header);
+        std::for_each(context_.service_->headers_.begin(), context_.service_->headers_.end(),
+                      copy_header);
+    }
+    if (resuming_) {
+        begin.headers.push_back(
+            make_field("range", "bytes=" + std::to_string(forwarded_bytes_) + "-"));
+        begin.headers.push_back(make_field("if-range", resumable_etag_));
+    }
+    begin.headers.push_back(make_field("host", context_.request_.host_));
+}
+
+// Ends the attempt in progress, if any; its target proxy is sent a cancellation.
+void call::abandon_attempt() {
+    if (attempt_ == nullptr) {
+        return;
+    }
+    const std::unique_ptr<current_attempt> abandoned = std::move(attempt_);
+    overdue_timer_.cancel();
+    abandoned->link_->cancel(*this);
+    owner_.views_.end_attempt(abandoned->target_);
+}
+
+// Abandons the attempt in progress, counts it, and excludes its target from further attempts.
+void call::exclude_target() {
+    ++attempts_;
+    tried_targets_.insert(attempt_->target_);
+    abandon_attempt();
+}
+
+void call::on_written(policy::attempt_id attempt) {
+    attempt_->id_ = attempt;
+    attempt_->written_ = true;
+    attempt_->credit_ = request_window_bytes;
+    // A request that waits for a slot takes long because of the load, which another attempt raises.
+    if (context_.idempotent_ && !may_wait_ && attempt_->run_duration_ > base::duration::zero()) {
+        overdue_timer_.start(policy::overdue_after(attempt_->run_duration_),
+                             [this] { on_overdue(); });
+    }
+    send_pending_body();
+}
+
+// Gives up the attempt in progress for one at another target, if the retry budget allows it.
+void call::on_overdue() {
+    if (attempt_ == nullptr || head_sent_ || holding_failure_) {
+        return;
+    }
+    policy::retry_context retry;
+    retry.outcome_ = policy::attempt_outcome::unknown;
+    retry.idempotent_ = context_.idempotent_;
+    retry.replayable_ = replayable();
+    retry.attempts_ = attempts_ + 1;
+    retry.max_attempts_ = context_.route_->attempts_;
+    retry.nested_ = nested_;
+    retry.time_left_ = time_left();
+    const auto other = owner_.choose(context_.service_->name_, criteria(), targets_used());
+    retry.other_target_ = other && !other->allow_ejected_;
+    retry.run_duration_ = other ? other->run_duration_ : base::duration::zero();
+    const policy::retry_decision decision =
+        policy::decide_retry(owner_.retry_budgets_[context_.service_->name_], owner_.retry_limits(),
+                             retry, owner_.dependencies_.loop_.clock().now());
+    if (decision != policy::retry_decision::retry) {
+        return;
+    }
+    record_event("overdue", attempt_->target_, time_left());
+    owner_.dependencies_.metrics_.count_retry();
+    may_have_run_ = true;
+    exclude_target();
+    send_attempt(*other);
+}
+
+// Returns the targets that no other attempt may use, with that of the attempt in progress.
+std::set<std::string> call::targets_used() const {
+    std::set<std::string> used = tried_targets_;
+    used.insert(attempt_->target_);
+    return used;
+}
+
+void call::on_refused(const wire::attempt_refused& refusal) {
+    if (refusal.__isset.report) {
+        owner_.record_report(refusal.report);
+    }
+    const bool only_target_leaves = refusal.__isset.report && refusal.report.leaving;
+    if (refusal.reason == wire::refusal_reason::draining && !only_target_leaves) {
+        owner_.set_draining(attempt_->link_->peer(), true);
+    }
+    if (refusal.reason == wire::refusal_reason::target_unreachable) {
+        attempt_ended(policy::attempt_outcome::not_run, to_reason(refusal.reason));
+        return;
+    }
+    retry_after_refusal(refusal);
+}
+
+// Tries another target, or refuses the request after too many refusals. The target proxy refused
+// before a slot was taken, so trying another target costs no retry budget.
+void call::retry_after_refusal(const wire::attempt_refused& refusal) {
+    const std::string target = attempt_->target_;
+    ++refusals_;
+    if (refusal.reason == wire::refusal_reason::target_busy ||
+        refusal.reason == wire::refusal_reason::overload) {
+        min_wait_ = std::min<base::duration>(min_wait_, base::milliseconds(refusal.retry_after_ms));
+    }
+    if (refusal.reason == wire::refusal_reason::target_busy) {
+        busy_targets_.insert(target);
+    } else {
+        tried_targets_.insert(target);
+    }
+    if (busy_targets_.size() >= max_busy_targets) {
+        may_wait_ = true;
+        busy_targets_.clear();
+    }
+    const bool final =
+        refusal.reason == wire::refusal_reason::key_withdrawn || refusals_ > max_refusals;
+    if (final) {
+        abandon_attempt();
+        refuse_not_run(to_reason(refusal.reason));
+        return;
+    }
+    attempt_ended(policy::attempt_outcome::not_run, to_reason(refusal.reason), true);
+}
+
+void call::on_failed(const wire::attempt_failed& failure) {
+    if (failure.__isset.report) {
+        owner_.record_report(failure.report);
+    }
+    if (failure.reason == wire::failure_reason::connection_lost && resend_to_target()) {
+        return;
+    }
+    const bool response_lost = failure.reason == wire::failure_reason::answer_lost;
+    attempt_ended(policy::attempt_outcome::unknown,
+                  response_lost ? filter::reason::response_lost : filter::reason::target_failed);
+}
+
+// Sends an idempotent request to the same target once more if its route allows no other target, the
+// target still accepts requests and the retry budget allows it. Returns whether it was sent.
+bool call::resend_to_target() {
+    const bool other_targets_left = attempts_ + 1 < context_.route_->attempts_;
+    if (head_sent_ || resent_ || other_targets_left || !context_.idempotent_ || !replayable()) {
+        return false;
+    }
+    const auto same = owner_.find_eligible(context_.service_->name_, attempt_->target_, run_kind());
+    if (!same || time_left() <= same->run_duration_ ||
+        !owner_.claim_retry(context_.service_->name_, nested_)) {
+        return false;
+    }
+    resent_ = true;
+    record_event("resent", attempt_->target_, time_left());
+    owner_.dependencies_.metrics_.count_retry();
+    abandon_attempt();
+    send_attempt(*same);
+    return true;
+}
+
+void call::on_not_run() {
+    tried_targets_.insert(attempt_->target_);
+    attempt_ended(policy::attempt_outcome::not_run, filter::reason::no_target, true);
+}
+
+void call::on_unknown() {
+    attempt_ended(policy::attempt_outcome::unknown, filter::reason::response_lost);
+}
+
+void call::on_in_doubt() {
+    if (head_sent_ && context_.idempotent_) {
+        exclude_target();
+        resume_or_abort();
+        return;
+    }
+    if (!head_sent_) {
+        attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::response_lost);
+        return;
+    }
+    // The rest of the response is requested from the target proxy; the wait for it is limited.
+    deadline_timer_.start(context_.service_->timeout_, [this] { on_deadline(); });
+}
+
+// Retries the request, waits until the attempt's status is resolved, or ends the request. If a
+// response has started, it is resumed or aborted instead. `budget_exempt`: the attempt reached no
+// target, so it is not counted and a retry costs no budget.
+void call::attempt_ended(policy::attempt_outcome outcome, filter::reason reason,
+                         bool budget_exempt) {
+    if (head_sent_) {
+        exclude_target();
+        resume_or_abort();
+        return;
+    }
+    holding_failure_ = false;
+    if (!budget_exempt) {
+        ++attempts_;
+        tried_targets_.insert(attempt_->target_);
+    }
+    policy::retry_context retry;
+    retry.outcome_ = outcome;
+    retry.idempotent_ = context_.idempotent_;
+    retry.replayable_ = replayable();
+    retry.attempts_ = attempts_;
+    retry.max_attempts_ = context_.route_->attempts_;
+    retry.may_have_run_before_ = may_have_run_;
+    retry.budget_exempt_ = budget_exempt;
+    retry.nested_ = nested_;
+    retry.time_left_ = time_left();
+    const auto other_choice = choose();
+    retry.other_target_ = other_choice.has_value();
+    retry.run_duration_ =
+        other_choice && !budget_exempt ? other_choice->run_duration_ : base::duration::zero();
+    const base::instant now = owner_.dependencies_.loop_.clock().now();
+    const policy::retry_decision decision = policy::decide_retry(
+        owner_.retry_budgets_[context_.service_->name_], owner_.retry_limits(), retry, now);
+    if (decision == policy::retry_decision::wait) {
+        --attempts_;
+        tried_targets_.erase(attempt_->target_);
+        // The attempt's status is requested from the target proxy; the wait for it is limited,
+        // because the target proxy may not reply.
+        deadline_timer_.start(std::min(time_left(), max_resolution_wait),
+                              [this] { on_deadline(); });
+        return;
+    }
+    const std::string target = attempt_->target_;
+    abandon_attempt();
+    may_have_run_ = may_have_run_ || outcome != policy::attempt_outcome::not_run;
+    if (decision != policy::retry_decision::retry) {
+        end_without_retry(decision, reason);
+        return;
+    }
+    if (!budget_exempt) {
+        record_event("retried", target, time_left());
+        owner_.dependencies_.metrics_.count_retry();
+    }
+    start_attempt();
+}
+
+void call::end_without_retry(policy::retry_decision decision, filter::reason reason) {
+    if (held_failure_) {
+        forward_held_failure();
+    } else if (decision == policy::retry_decision::refuse_not_run && !may_have_run_) {
+        refuse_not_run(reason);
+    } else {
+        refuse_unknown(reason);
+    }
+}
+
+}  // namespace dandelionridge::node
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -233,23 +233,33 @@
     return candidate;
 }
 
-std::optional<chosen_target> caller_proxy::find_eligible(const std::string& service,
-                                                         const std::string& target,
-                                                         policy::run_kind kind) const {
+std::optional<caller_proxy::listed_service> caller_proxy::find_service(
+    const std::string& service) const {
     const config::host_list& hosts = *dependencies_.configuration_.hosts();
     const config::rule_set& rules = *dependencies_.configuration_.rules();
-    const auto target_indexes = hosts.by_service_.find(service);
+    const auto targets = hosts.by_service_.find(service);
     const auto rule = rules.services_.find(service);
-    if (target_indexes == hosts.by_service_.end() || rule == rules.services_.end()) {
+    if (targets == hosts.by_service_.end() || rule == rules.services_.end()) {
         return std::nullopt;
     }
-    for (const config::target_index& index : target_indexes->second) {
+    return listed_service{rule->second, targets->second};
+}
+
+std::optional<chosen_target> caller_proxy::find_eligible(const std::string& service,
+                                                         const std::string& target,
+                                                         policy::run_kind kind) const {
+    const auto listed = find_service(service);
+    if (!listed) {
+        return std::nullopt;
+    }
+    const config::host_list& hosts = *dependencies_.configuration_.hosts();
+    for (const config::target_index& index : listed->targets_) {
         const config::host_entry& host = hosts.hosts_[index.host_];
         const config::target_entry& entry = host.targets_[index.target_];
         if (entry.name_ != target) {
             continue;
         }
-        const policy::candidate candidate = make_candidate(host, entry, rule->second, kind);
+        const policy::candidate candidate = make_candidate(host, entry, listed->rule_, kind);
         const bool usable = !candidate.excluded_ && !candidate.unreachable_ && !candidate.ejected_;
         return usable ? std::optional(chosen_target{&host, &entry, false, candidate.run_duration_})
                       : std::nullopt;
@@ -260,19 +270,17 @@
 std::optional<chosen_target> caller_proxy::choose(const std::string& service,
                                                   const policy::choice_criteria& criteria,
                                                   const std::set<std::string>& excluded) {
-    const config::host_list& hosts = *dependencies_.configuration_.hosts();
-    const config::rule_set& rules = *dependencies_.configuration_.rules();
-    const auto target_indexes = hosts.by_service_.find(service);
-    const auto rule = rules.services_.find(service);
-    if (target_indexes == hosts.by_service_.end() || rule == rules.services_.end()) {
+    const auto listed = find_service(service);
+    if (!listed) {
         return std::nullopt;
     }
+    const config::host_list& hosts = *dependencies_.configuration_.hosts();
     std::vector<policy::candidate> candidates;
-    candidates.reserve(target_indexes->second.size());
-    for (const config::target_index& target_index : target_indexes->second) {
+    candidates.reserve(listed->targets_.size());
+    for (const config::target_index& target_index : listed->targets_) {
         const config::host_entry& host = hosts.hosts_[target_index.host_];
         const config::target_entry& target = host.targets_[target_index.target_];
-        policy::candidate candidate = make_candidate(host, target, rule->second, criteria.kind_);
+        policy::candidate candidate = make_candidate(host, target, listed->rule_, criteria.kind_);
         candidate.excluded_ = candidate.excluded_ || excluded.contains(target.name_);
         candidates.push_back(candidate);
     }
@@ -280,7 +288,7 @@
     if (!chosen) {
         return std::nullopt;
     }
-    const config::target_index& target_index = target_indexes->second[chosen->index_];
+    const config::target_index& target_index = listed->targets_[chosen->index_];
     const config::host_entry& host = hosts.hosts_[target_index.host_];
     return chosen_target{&host, &host.targets_[target_index.target_], chosen->allow_ejected_,
                          candidates[chosen->index_].run_duration_};
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -139,6 +140,15 @@
 
     policy::retry_limits retry_limits() const;
 
+    // A service's rule and targets, valid while the present configuration is in force.
+    struct listed_service {
+        const config::service_rule& rule_;
+        std::span<const config::target_index> targets_;
+    };
+
+    // Returns a service, or nothing if the rules or the host list do not contain it.
+    std::optional<listed_service> find_service(const std::string& service) const;
+
     // Returns a target of a service by its name if it may get a request of that kind now.
     std::optional<chosen_target> find_eligible(const std::string& service,
                                                const std::string& target,
