Destroy the stubs' handlers before the stubs

"a running request completes after a planned stop has begun" ended with SIGSEGV in the test program: once beside hosts of the program before, once in 20 runs under gdb. The trace: a handler of platform_stub, destroyed by a deferred function on the loop's thread, removes itself from the stub's watchers, which the stub's destructor had destroyed meanwhile.

The stubs of platform, store and targets run the deferred functions before their other members go.

--- a/tests/support/platform_stub.cpp
+++ b/tests/support/platform_stub.cpp
@@ -114,7 +114,11 @@
 }
 
 platform_stub::~platform_stub() {
-    thread_.run([&] { server_.reset(); });
+    // The handlers, which refer to this stub, are destroyed by deferred functions.
+    thread_.run([&] {
+        server_.reset();
+        thread_.loop().run_deferred();
+    });
 }
 
 void platform_stub::set_value(const std::string& value_name, std::int64_t version,
--- a/tests/support/store_stub.cpp
+++ b/tests/support/store_stub.cpp
@@ -166,7 +166,11 @@
 }
 
 store_stub::~store_stub() {
-    thread_.run([&] { server_.reset(); });
+    // The handlers, which refer to this stub, are destroyed by deferred functions.
+    thread_.run([&] {
+        server_.reset();
+        thread_.loop().run_deferred();
+    });
 }
 
 void store_stub::notify_watchers() {
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -249,7 +249,11 @@
 }
 
 target_stub::~target_stub() {
-    thread_.run([&] { server_.reset(); });
+    // The handlers, which refer to this stub, are destroyed by deferred functions.
+    thread_.run([&] {
+        server_.reset();
+        thread_.loop().run_deferred();
+    });
 }
 
 void target_stub::set(target_behaviour behaviour) {
