--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -21,6 +21,10 @@
 // an older report is assumed to have received one since.
 constexpr base::duration max_idle_report_age = base::milliseconds(500);
 
+// Maximum age of a report by which a target counts as ejected or on trial. A target proxy reports a
+// change only to the caller proxies that used the target in a somewhat longer time.
+constexpr base::duration max_health_report_age = base::seconds(10);
+
 // Share of the fleet's retry budget that the caller proxies use. The rest is for what none of them
 // can refuse: a repeated run repeats its calls, and the load differs between hosts.
 constexpr double budget_share = 0.5;
@@ -222,13 +226,14 @@
         candidate.suspicion_ =
             policy::decayed_suspicion(view->report_.suspicion / percent, candidate.report_age_);
         candidate.needs_probe_ = view->report_.idle && candidate.report_age_ < max_idle_report_age;
-        candidate.ejected_ = view->report_.ejected;
+        const bool recent = candidate.report_age_ < max_health_report_age;
+        candidate.ejected_ = view->report_.ejected && recent;
         if (view->report_.__isset.rate_limit) {
             candidate.rate_limit_ = view->report_.rate_limit;
             candidate.slots_ = policy::usable_slots(view->report_.rate_limit, candidate.slots_,
                                                     candidate.run_duration_);
         }
-        candidate.on_trial_ = view->report_.on_trial;
+        candidate.on_trial_ = view->report_.on_trial && recent;
     }
     return candidate;
 }
