Fail a run whose connection is not established within 500 ms as not run

Cause: a target proxy waited for a connection to its target until the request's deadline and then answered "outcome unknown", although nothing had been sent.

Change: http_client_pool has a connect timeout; the request fails as never sent, is refused as not run, and its caller proxy sends it elsewhere.

Result: the new test (a listener with a full queue) failed before: no outcome within 20 s.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -88,7 +88,11 @@
 
 http_client_request::http_client_request(event_loop& loop, http_request request,
                                          http_client_events& events)
-    : loop_(loop), request_(std::move(request)), id_(request_id_of(request_)), events_(&events) {
+    : loop_(loop),
+      request_(std::move(request)),
+      id_(request_id_of(request_)),
+      events_(&events),
+      connect_timer_(loop) {
     body_sent_ = !request_.chunked_ && request_.body_length_.value_or(0) == 0;
     reset_reader();
 }
@@ -109,6 +113,7 @@
 
 void http_client_request::detach() {
     events_ = nullptr;
+    connect_timer_.cancel();
     if (socket_ != nullptr) {
         socket_->close();
     }
@@ -254,6 +259,7 @@
         return;
     }
     http_client_events* events = std::exchange(events_, nullptr);
+    connect_timer_.cancel();
     socket_->close();
     events->on_failed(any_byte_sent_ ? client_failure::maybe_sent : client_failure::never_sent);
 }
@@ -279,6 +285,8 @@
     } else {
         ++opened_;
         started->socket_ = byte_socket::connect(loop_, server_, *started, options_.keepalive_);
+        started->connect_timer_.start(options_.connect_timeout_,
+                                      [request = started.get()] { request->fail(); });
     }
     started->write_head();
     return started;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -81,7 +81,7 @@
     // Returns how long the connection had been idle before this request; nothing if it was new.
     std::optional<base::duration> idle_time() const { return idle_time_; }
 
-    void on_open() override {}
+    void on_open() override { connect_timer_.cancel(); }
     void on_bytes(std::string_view bytes) override;
     void on_sent(std::size_t bytes) override;
     void on_closed(close_reason reason) override;
@@ -112,6 +112,8 @@
     http_client_pool* pool_ = nullptr;
     std::unique_ptr<byte_socket> socket_;
     std::unique_ptr<http_reader> reader_;
+    // Limits the time until a new connection is established.
+    timer connect_timer_;
     // Keep-alive timeout of the server, in seconds, if its response named one.
     std::optional<int> keep_alive_s_;
     std::optional<base::duration> idle_time_;
@@ -135,7 +137,9 @@
     // An idle connection is closed after this time, or earlier if the server's keep-alive timeout
     // is shorter.
     base::duration max_idle_time_ = base::seconds(4);
-    keepalive_options keepalive_;
+    // A request whose connection is not established within this time fails as never sent.
+    base::duration connect_timeout_ = base::milliseconds(500);
+    keepalive_options keepalive_{};
 };
 
 // Keeps connections to one server open for reuse between requests. Must outlive the requests that
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -75,6 +76,41 @@
     std::thread thread_;
 };
 
+// Listens and never accepts, and its queue is full, so that the system drops attempts to connect.
+class unreachable_server {
+public:
+    unreachable_server() {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in socket_address{};
+        socket_address.sin_family = AF_INET;
+        socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(socket_address);
+        REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&socket_address), length) == 0);
+        listen(listener_, 0);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&socket_address), &length);
+        address_ = {"127.0.0.1", ntohs(socket_address.sin_port)};
+        for (int& fd : fillers_) {
+            fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            static_cast<void>(connect(fd, reinterpret_cast<sockaddr*>(&socket_address), length));
+        }
+    }
+    unreachable_server(const unreachable_server&) = delete;
+    unreachable_server& operator=(const unreachable_server&) = delete;
+    ~unreachable_server() {
+        for (const int fd : fillers_) {
+            close(fd);
+        }
+        close(listener_);
+    }
+
+    const base::address& address() const { return address_; }
+
+private:
+    int listener_ = -1;
+    std::array<int, 4> fillers_{};
+    base::address address_;
+};
+
 // Records the response to one request or its failure, and stops the loop when the request has
 // ended.
 class recorder final : public net::http_client_events {
@@ -310,6 +346,24 @@
     CHECK(events.outcome_ == "never_sent");
 }
 
+TEST_CASE("a request whose connection is not established in time is reported as never sent",
+          "[net][contract]") {
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const unreachable_server server;
+    net::http_client_pool pool(*loop, server.address(),
+                               {.connect_timeout_ = base::milliseconds(50)});
+    recorder events(*loop);
+    net::http_request request;
+    request.method_ = "POST";
+    request.path_ = "/x";
+    const auto started = pool.start(std::move(request), base::duration::zero(), events);
+    net::timer give_up(*loop);
+    give_up.start(base::seconds(20), [&] { loop->stop(); });
+    loop->run();
+    CHECK(events.outcome_ == "never_sent");
+}
+
 TEST_CASE("a fetch may be replaced by another one from within its callback", "[net][contract]") {
     const base::runtime_clock clock;
     const auto loop = std::move(net::event_loop::create(clock).value());
