Confirm a version by its manifest's request; log why links end; bound Retry-After always

It confirms with the request for the manifest; the call that follows asks for no wait and confirms at once. - A rejected configuration made gossip count the platform as failing until the next outage ended. The feed's own state decides now, and store_feed sets it before it reports a failed call. - Causes of bad frames, resets and failed openings of links were dropped. They are in link_lost, and in the new events link_failed (first of a row) and link_dropped (the accepting side, unless the close was orderly). - Retry-After exceeded a third of the time left where that third was 150 ms or less. Callers that follow it up to a third came back at a time of their own.

Result: the tests of platform_reader, store_feed and retry_after failed with the old files (frame_socket's did not compile); all 91 unit cases pass.

--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -33,7 +33,7 @@
 void frame_socket::on_bytes(std::string_view bytes) {
     if (loop_.pause_count() != pauses_at_creation_) {
         // Frames that arrived during a pause may be long out of date, so none of them is processed.
-        disconnect();
+        disconnect("paused");
         return;
     }
     bytes_received_ += bytes.size();
@@ -41,7 +41,7 @@
     while (is_open()) {
         base::result<std::optional<wire::frame>> next = decoder_.next();
         if (!next) {
-            disconnect();
+            disconnect("invalid frame: " + next.error().message_);
             return;
         }
         if (!next->has_value()) {
@@ -54,17 +54,18 @@
 void frame_socket::on_sent(std::size_t bytes) {
     bytes_sent_ += bytes;
     if (loop_.pause_count() != pauses_at_creation_) {
-        disconnect();
+        disconnect("paused");
     }
 }
 
-void frame_socket::on_closed(close_reason /*reason*/) {
-    events_.on_closed(*this);
+void frame_socket::on_closed(close_reason reason) {
+    events_.on_closed(*this,
+                      reason == close_reason::connection_lost ? "connection lost" : closed_by_peer);
 }
 
-void frame_socket::disconnect() {
+void frame_socket::disconnect(std::string_view cause) {
     close();
-    events_.on_closed(*this);
+    events_.on_closed(*this, cause);
 }
 
 frame_server::frame_server(event_loop& loop, frame_socket_events& events, accept_callback on_accept)
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/address.h"
 #include "base/error.h"
@@ -17,6 +18,9 @@
 
 class frame_socket;
 
+// Cause of an orderly end, as opposed to those that are worth a line in the log.
+inline constexpr std::string_view closed_by_peer = "closed";
+
 // Receives the events of a socket. The socket may be closed, but not destroyed, from within these
 // calls.
 class frame_socket_events {
@@ -29,8 +33,9 @@
     // The next frame from the peer.
     virtual void on_frame(frame_socket& socket, wire::frame&& frame) = 0;
 
-    // The connection failed or was closed by the peer. Not called after close().
-    virtual void on_closed(frame_socket& socket) = 0;
+    // The connection failed or was closed by the peer. `cause` names the reason for the log. Not
+    // called after close().
+    virtual void on_closed(frame_socket& socket, std::string_view cause) = 0;
 };
 
 // One connection. Its destructor closes it and discards unread and unsent bytes.
@@ -66,7 +71,7 @@
 
     frame_socket(event_loop& loop, frame_socket_events& events);
     // Closes the connection and reports that to the events.
-    void disconnect();
+    void disconnect(std::string_view cause);
 
     event_loop& loop_;
     frame_socket_events& events_;
--- a/src/net/platform_reader.cpp
+++ b/src/net/platform_reader.cpp
@@ -68,10 +68,10 @@
 }
 
 void platform_reader::watch() {
-    // Without a version the call asks for no wait: the platform responds at once, so that a start
-    // is confirmed without delay.
-    const base::duration wait =
-        current_version_ == 0 ? base::duration::zero() : options_.watch_wait_;
+    // Without a wait the platform responds at once, so that a start and a new version are confirmed
+    // without delay.
+    const bool confirm_at_once = current_version_ == 0 || std::exchange(just_published_, false);
+    const base::duration wait = confirm_at_once ? base::duration::zero() : options_.watch_wait_;
     const std::string path = "?after=" + std::to_string(current_version_) +
                              "&wait=" + std::to_string(base::whole_ms(wait));
     const base::instant started_at = loop_.clock().now();
@@ -95,7 +95,7 @@
                                                        ", not 200 or 304; check its health"});
         return;
     }
-    on_manifest(*outcome);
+    on_manifest(started_at, *outcome);
 }
 
 void platform_reader::on_unchanged(base::instant started_at, const fetch_result& response) {
@@ -137,7 +137,8 @@
     return parts;
 }
 
-void platform_reader::on_manifest(const fetch_result& response) {
+void platform_reader::on_manifest(base::instant requested_at, const fetch_result& response) {
+    manifest_requested_at_ = requested_at;
     pending_version_ = version_of(response);
     auto parts = parse_manifest(response.body_);
     if (!parts || pending_version_ <= 0) {
@@ -196,10 +197,10 @@
         current_parts.emplace(published_part.digest_, text);
     }
     known_parts_ = std::move(current_parts);
-    const base::instant read_at = loop_.clock().now();
     current_version_ = std::max(current_version_, pending_version_);
     events_.published_(std::move(published));
-    events_.confirmed_(read_at);
+    just_published_ = true;
+    events_.confirmed_(manifest_requested_at_);
     if (started_) {
         watch();
     }
--- a/src/net/platform_reader.h
+++ b/src/net/platform_reader.h
@@ -40,7 +40,7 @@
     // Called when a whole version was read.
     std::function<void(platform_version)> published_;
     // Called with the time at which the current version counts as confirmed: the start of a call
-    // that found nothing newer, or the time at which the last part of a new version was read.
+    // that found nothing newer, or of the call that returned the manifest of a new version.
     std::function<void(base::instant)> confirmed_;
     // Called when a call failed. The reader retries by itself.
     std::function<void(const base::error&)> failed_;
@@ -74,7 +74,7 @@
     void call(const std::string& path, base::duration timeout, http_fetch::callback done);
     void on_watched(base::instant started_at, base::result<fetch_result> outcome);
     void on_unchanged(base::instant started_at, const fetch_result& response);
-    void on_manifest(const fetch_result& response);
+    void on_manifest(base::instant requested_at, const fetch_result& response);
     void read_next_part();
     void on_part(base::result<fetch_result> outcome);
     void publish();
@@ -94,6 +94,9 @@
     std::int64_t current_version_ = 0;
     // Version whose parts are being read, its parts, and the index of the next one to read.
     std::int64_t pending_version_ = 0;
+    base::instant manifest_requested_at_{};
+    // No call has begun since the last version was published.
+    bool just_published_ = false;
     std::vector<part> parts_;
     std::size_t next_part_ = 0;
     // Texts of the parts of the last version and of those read since, by digest. Known parts are
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -190,7 +190,8 @@
         configuration_.confirm(confirmed_at);
     };
     callbacks.failed_ = [this](const base::error& error) {
-        gossip_.set_platform_failing(true);
+        // A rejected value fails too, but from a platform that answers.
+        gossip_.set_platform_failing(!feed_->platform_available());
         record("platform_failed", {{"error", error.message_}});
     };
     callbacks.recovered_ = [this] {
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -165,13 +165,13 @@
     socket.send(frame);
 }
 
-void peer_link::on_closed(net::frame_socket& /*socket*/) {
-    handle_link_lost("closed");
+void peer_link::on_closed(net::frame_socket& /*socket*/, std::string_view cause) {
+    handle_link_lost(cause);
 }
 
 // Closes the lost link and reports its attempts as in doubt. Schedules a new link, on which their
 // status is queried.
-void peer_link::handle_link_lost(const char* cause) {
+void peer_link::handle_link_lost(std::string_view cause) {
     const bool was_open = is_open();
     connect_timer_.cancel();
     ping_timer_.cancel();
@@ -188,8 +188,12 @@
                           {{"peer", peer_},
                            {"link", std::to_string(sent_attempts_.last_link_)},
                            {"in_doubt", std::to_string(in_doubt.size())},
-                           {"cause", cause}});
+                           {"cause", std::string(cause)}});
     } else {
+        if (failures_ == 0) {
+            event_log_.record(loop_.clock().wall_ms(), "link_failed",
+                              {{"peer", peer_}, {"cause", std::string(cause)}});
+        }
         fail_pending();
     }
     for (const policy::attempt_id attempt : in_doubt) {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -132,7 +132,7 @@
 
     void on_open(net::frame_socket& socket) override;
     void on_frame(net::frame_socket& socket, wire::frame&& frame) override;
-    void on_closed(net::frame_socket& socket) override;
+    void on_closed(net::frame_socket& socket, std::string_view cause) override;
 
 private:
     struct pending_attempt {
@@ -141,7 +141,7 @@
     };
 
     void connect();
-    void handle_link_lost(const char* cause);
+    void handle_link_lost(std::string_view cause);
     void fail_pending();
     void write(pending_attempt pending);
     void on_welcome(const wire::welcome& welcome);
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -148,13 +148,17 @@
     listener_.on_peer_versions(link.host_, hello.versions, make_reply_sender(link));
 }
 
-void target_proxy::on_closed(net::frame_socket& socket) {
+void target_proxy::on_closed(net::frame_socket& socket, std::string_view cause) {
     const auto found = connections_.find(&socket);
     if (found == connections_.end()) {
         return;
     }
     connection lost = std::move(found->second);
     connections_.erase(found);
+    if (cause != net::closed_by_peer) {
+        events_.record(loop_.clock().wall_ms(), "link_dropped",
+                       {{"peer", lost.host_}, {"cause", std::string(cause)}});
+    }
     if (lost.handshake_done_) {
         links_.erase({lost.caller_proxy_boot_, lost.link_});
         disconnected_since_[lost.caller_proxy_boot_] = loop_.clock().now();
@@ -269,7 +273,7 @@
     if (old_link != links_.end()) {
         net::frame_socket* socket = old_link->second;
         socket->close();
-        on_closed(*socket);
+        on_closed(*socket, net::closed_by_peer);
     }
     for (const std::int64_t sequence : resolution.withdrawn_) {
         const auto waiting =
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -66,7 +66,7 @@
 
     void on_open(net::frame_socket& socket) override;
     void on_frame(net::frame_socket& socket, wire::frame&& frame) override;
-    void on_closed(net::frame_socket& socket) override;
+    void on_closed(net::frame_socket& socket, std::string_view cause) override;
 
     void send_to_caller_proxy(const target_proxy_attempt& attempt,
                               const wire::frame& frame) override;
--- a/src/policy/retry_after.cpp
+++ b/src/policy/retry_after.cpp
@@ -21,7 +21,7 @@
         min_spread_percent + static_cast<int>(base::random_below(random, spread_width_percent + 1));
     const base::duration delay = std::max(wait, min_delay) * percent / 100;
     const base::duration max_delay = time_left / time_left_divisor;
-    return max_delay > min_delay ? std::min(delay, max_delay) : delay;
+    return max_delay > base::duration::zero() ? std::min(delay, max_delay) : delay;
 }
 
 }  // namespace dandelionridge::policy
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -46,7 +46,10 @@
                 }
             };
             callbacks.confirmed_ = [](base::instant) {};
-            callbacks.failed_ = [this](const base::error&) { ++failures_; };
+            callbacks.failed_ = [this](const base::error&) {
+                available_at_failure_ = feed_->platform_available();
+                ++failures_;
+            };
             callbacks.recovered_ = [] {};
             callbacks.hold_changed_ = [](const control::platform_hold&) {};
             feed_ = std::make_unique<store_feed>(
@@ -71,6 +74,8 @@
     }
     bool versions_increase() const { return versions_increase_; }
     int failures() const { return failures_; }
+    // Whether the feed called the platform available when it last reported a failure.
+    bool available_at_failure() const { return available_at_failure_; }
 
 private:
     loop_thread thread_;
@@ -80,6 +85,7 @@
     std::int64_t version_ = 0;
     std::atomic<bool> versions_increase_ = true;
     std::atomic<int> failures_ = 0;
+    std::atomic<bool> available_at_failure_ = false;
     std::unique_ptr<store_feed> feed_;
 };
 
@@ -143,6 +149,20 @@
     CHECK(feed.failures() == 0);
 }
 
+TEST_CASE("a rejected value does not make the platform unavailable, a failed call does",
+          "[platform][contract]") {
+    store_stub store(store_address);
+    store.put("servers/a", "a");
+    const feed_recorder feed;
+    REQUIRE(eventually([&] { return feed.hosts().size() == 1; }));
+    store.put("op/config", "not a configuration");
+    REQUIRE(eventually([&] { return feed.failures() == 1; }));
+    CHECK(feed.available_at_failure());
+    store.set_fault(store_fault::unavailable);
+    REQUIRE(eventually([&] { return feed.failures() == 2; }));
+    CHECK_FALSE(feed.available_at_failure());
+}
+
 TEST_CASE("entries that disappear during an outage are missing for the hold time", "[platform]") {
     const base::instant start{base::seconds(100)};
     store_view view;
--- a/tests/support/platform_stub.cpp
+++ b/tests/support/platform_stub.cpp
@@ -34,7 +34,10 @@
         std::string name = path.substr(std::min(prefix.size(), path.size()));
         const std::size_t slash = name.find('/');
         if (slash != std::string::npos) {
-            respond_with_part(name.substr(0, slash), name.substr(slash + 1));
+            value_name_ = name.substr(0, slash);
+            part_ = name.substr(slash + 1);
+            platform_.watchers_.insert(this);
+            respond_with_part();
             return;
         }
         value_name_ = name;
@@ -51,13 +54,24 @@
 
     bool respond_if_newer() {
         const auto& value = platform_.values_[value_name_];
-        if (responded_ || value.version_ <= known_version_) {
+        if (responded_ || !part_.empty() || value.version_ <= known_version_) {
             return false;
         }
         respond(200, value.version_, value.manifest_);
         return true;
     }
 
+    bool respond_with_part() {
+        if (responded_ || part_.empty() || platform_.parts_held_) {
+            return false;
+        }
+        const auto& published = platform_.values_[value_name_];
+        const auto found = published.parts_.find(part_);
+        const bool known = found != published.parts_.end();
+        respond(known ? 200 : 404, published.version_, known ? found->second : "");
+        return true;
+    }
+
     void abort_exchange() {
         if (!responded_) {
             responded_ = true;
@@ -76,13 +90,6 @@
         }
     }
 
-    void respond_with_part(const std::string& value_name, const std::string& part) {
-        const auto& published = platform_.values_[value_name];
-        const auto found = published.parts_.find(part);
-        const bool known = found != published.parts_.end();
-        respond(known ? 200 : 404, published.version_, known ? found->second : "");
-    }
-
     void respond(int status, std::int64_t version, const std::string& body) {
         responded_ = true;
         net::http_response response;
@@ -95,6 +102,8 @@
     net::http_exchange& exchange_;
     net::timer wait_timer_;
     std::string value_name_;
+    // Part that the call is for; empty if it is for the manifest.
+    std::string part_;
     std::int64_t known_version_ = 0;
     bool responded_ = false;
 };
@@ -121,6 +130,15 @@
     });
 }
 
+void platform_stub::hold_parts(bool hold) {
+    thread_.run([&] {
+        parts_held_ = hold;
+        for (platform_handler* handler : std::set<platform_handler*>(watchers_)) {
+            handler->respond_with_part();
+        }
+    });
+}
+
 void platform_stub::set_value(const std::string& value_name, std::int64_t version,
                               const std::vector<std::string>& lines, std::size_t part_lines) {
     published_value new_value;
--- a/tests/support/platform_stub.h
+++ b/tests/support/platform_stub.h
@@ -35,6 +35,9 @@
     void publish_stale(const std::string& value_name, std::int64_t version,
                        const std::vector<std::string>& lines);
 
+    // While set, calls for parts get no response. Those that wait get one when it is unset.
+    void hold_parts(bool hold);
+
     // Number of calls received so far.
     std::uint64_t calls() const { return calls_; }
 
@@ -53,7 +56,9 @@
     std::atomic<std::uint64_t> calls_ = 0;
     loop_thread thread_;
     bool unavailable_ = false;
+    bool parts_held_ = false;
     std::map<std::string, published_value> values_;
+    // Handlers of calls that may still get their response.
     std::set<class platform_handler*> watchers_;
     std::unique_ptr<net::http_server> server_;
 };
