--- a/src/node/call.h
+++ b/src/node/call.h
@@ -76,6 +76,7 @@
     struct held_failure {
         wire::answer_head head_;
         std::string body_;
+        std::string target_;
     };
 
     void begin();
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -53,7 +53,7 @@
     }
     if (head.status >= min_server_error_status && context_.idempotent_) {
         holding_failure_ = true;
-        held_failure_ = held_failure{head, {}};
+        held_failure_ = held_failure{head, {}, attempt_->target_};
         return;
     }
     forward_head(head);
@@ -129,7 +129,7 @@
 void call::forward_held_failure() {
     const held_failure failure = std::move(*held_failure_);
     held_failure_.reset();
-    record_event("failure_passed_on", context_.service_->name_, time_left());
+    record_event("failure_passed_on", failure.target_, time_left());
     forward_head(failure.head_);
     exchange_.send_body(failure.body_);
     finish_response();
