Test that a run's own calls are answered during a planned stop of its host

A run of 4 s on a stopping host makes calls on new connections through the host's caller proxy; each is answered until the run ends. With listening ended by time alone the test fails (connections refused); with the program as it is it passed at once.

--- a/tests/process_drain_test.cpp
+++ b/tests/process_drain_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <future>
+#include <string>
 #include <thread>
 
 #include "support/plans.h"
@@ -53,3 +55,29 @@
     CHECK(refused > 0);
     CHECK(fleet.host(1).wait() == 0);
 }
+
+TEST_CASE("a run's own calls are answered during a planned stop of its host", "[planned-stop]") {
+    store_fleet fleet({"orders", "catalogue", "catalogue"}, 50, "drain_bound = 6s\n");
+    fleet.start_all();
+    fleet.set_target(1, {.delay_ = std::chrono::seconds(4)});
+    auto order = send_in_background(fleet.request_to("orders", 2, "order", "POST"));
+    REQUIRE(wait_for([&] { return fleet.target(1).total_runs() == 1; }));
+    fleet.host(1).send_signal(SIGTERM);
+    int answered = 0;
+    for (int i = 0; order.wait_for(std::chrono::milliseconds(50)) != std::future_status::ready;
+         ++i) {
+        INFO("call " << i);
+        // A new connection for each call, as a run makes it.
+        caller run;
+        const caller_response response =
+            run.send(store_fleet::nested_request_to("catalogue", 1, "call-" + std::to_string(i)));
+        if (order.wait_for(std::chrono::seconds(0)) == std::future_status::ready) {
+            break;
+        }
+        CHECK(response.status_ == 200);
+        ++answered;
+    }
+    CHECK(order.get().status_ == 200);
+    CHECK(answered > 0);
+    CHECK(fleet.host(1).wait() == 0);
+}
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -30,8 +30,8 @@
     return {loopback_ip(host), target_port};
 }
 
-json route_resource(const std::string& service, const std::string& prefix,
-                    const std::string& kind) {
+json route_resource(const std::string& service, const std::string& prefix, const std::string& kind,
+                    bool open = false) {
     return {{"type", "routes"},
             {"metadata", {{"name", service + prefix}}},
             {"spec",
@@ -43,7 +43,7 @@
               {"targetLatencyS", 4},
               {"maxAttempts", 3},
               {"priority", 1},
-              {"public", false}}}};
+              {"public", open}}}};
 }
 
 }  // namespace
@@ -78,6 +78,7 @@
                              {"spec", {{"healthPath", "/health"}}}});
         resources.push_back(route_resource(service, "/reads/", "idempotent"));
         resources.push_back(route_resource(service, "/orders/", "non_idempotent"));
+        resources.push_back(route_resource(service, "/calls/", "idempotent", true));
     }
     resources.push_back({{"type", "tenants"},
                          {"metadata", {{"name", "bends"}}},
@@ -140,6 +141,14 @@
     return request;
 }
 
+caller_request store_fleet::nested_request_to(const std::string& service, std::size_t host,
+                                              const std::string& id) {
+    caller_request request;
+    request.url_ = base::to_string({loopback_ip(host), callers_port}) + "/calls/" + id;
+    request.headers_ = {"Host: " + service + ".example", "X-Request-Id: " + id};
+    return request;
+}
+
 std::string store_fleet::write_settings(std::size_t host) const {
     std::string file = directory_ + "/h" + std::to_string(host) + ".ini";
     const auto address_at = [&](std::uint16_t port) {
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -21,7 +21,8 @@
 class store_fleet {
 public:
     // `services` holds the service of each host's target. A service S has the routes
-    // S.example/reads/ (idempotent) and S.example/orders/ (non-idempotent).
+    // S.example/reads/ (idempotent), S.example/orders/ (non-idempotent), and S.example/calls/
+    // (idempotent, without a key).
     // `slots` is the number of slots of each target. `extra_settings` is appended to every settings
     // file, in its section [times].
     explicit store_fleet(std::vector<std::string> services, int slots = 20,
@@ -60,6 +61,10 @@
     caller_request request_to(const std::string& service, std::size_t caller_proxy,
                               const std::string& id, const std::string& method) const;
 
+    // Returns the request that a run on a host makes through the host's own caller proxy.
+    static caller_request nested_request_to(const std::string& service, std::size_t host,
+                                            const std::string& id);
+
     // Returns the key and the value of the store entry of a host's target.
     static std::string entry_key(std::size_t host);
     std::string entry_value(std::size_t host, const std::string& state) const;
