--- a/spec/attempt.pml
+++ b/spec/attempt.pml
@@ -118,7 +118,7 @@
     :: atomic { stage == queued -> stage = in_slot; record_run() }
     :: atomic { stage == queued -> stage = refused }
     :: atomic { stage == in_slot -> stage = ended }
-    :: atomic { stage == ended -> stage = no_record; evicted = true }
+    :: atomic { stage == ended || stage == refused -> stage = no_record; evicted = true }
     :: atomic {
         target_proxy_boot < BOOT_COUNT ->
         target_proxy_boot++;
