Test a stopping host's late requests with and without a run on it

The old test keeps its every condition, on a host that a run of its own keeps listening. A second one checks the host without runs: each request is completed, refused as not run, or refused the connection, and then none is accepted.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -170,7 +170,8 @@
 
 TEST_CASE("late in a planned stop new requests are refused, not accepted and abandoned",
           "[promise-planned-stop]") {
-    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s");
+    // The run on the stopping host keeps it listening, for the requests that the run makes.
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h1"}, "slots=5 timeout=20s");
     plan.extra_settings_ += "drain_bound = 4s\n";
     fleet fleet(plan);
     fleet.start_all();
@@ -189,3 +190,27 @@
     CHECK(held_response.get().outcome() == "unknown");
     CHECK(fleet.host("h1").wait() == 0);
 }
+
+TEST_CASE("a stopping host without runs completes what it accepted and then accepts nothing",
+          "[promise-planned-stop]") {
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s");
+    plan.extra_settings_ += "drain_bound = 4s\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
+    auto held_response = send_in_background(order_request(fleet, "h1", "a", "POST"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
+    fleet.target("t1").set({});
+    fleet.host("h1").send_signal(SIGTERM);
+    caller caller;
+    int sent = 0;
+    REQUIRE(wait_for([&] {
+        const auto response =
+            caller.send(order_request(fleet, "h1", "n" + std::to_string(sent++), "POST"));
+        CHECK((response.connect_failed_ || response.status_ == 200 ||
+               (response.outcome() == "not_run" && response.reason() == "stopping")));
+        return response.connect_failed_;
+    }));
+    CHECK(held_response.get().outcome() == "unknown");
+    CHECK(fleet.host("h1").wait() == 0);
+}
