Take posted tasks one at a time, so that run_deferred() reaches them all

Cause: run_posted_tasks() took all waiting tasks out of the queue before it ran the first. A task that called run_deferred(), as the destructors of servers do, did not reach the others: in the tests a stub's handlers were destroyed after the stub itself.

Change: tasks are taken from the queue one at a time, and only as many as waited at the beginning, so that tasks that post others do not starve the loop.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -120,14 +120,17 @@
     }
 }
 
+// Runs the tasks that wait now; those that they post run with the next events. Tasks are taken one
+// at a time, so that run_deferred() within one of them reaches the rest.
 void event_loop::run_posted_tasks() {
-    std::deque<std::function<void()>> tasks;
-    {
-        const std::lock_guard lock(posted_tasks_mutex_);
-        tasks.swap(posted_tasks_);
-    }
-    for (auto& task : tasks) {
+    std::unique_lock lock(posted_tasks_mutex_);
+    for (std::size_t left = posted_tasks_.size(); left > 0 && !posted_tasks_.empty(); --left) {
+        std::function<void()> task = std::move(posted_tasks_.front());
+        posted_tasks_.pop_front();
+        lock.unlock();
         task();
+        task = nullptr;
+        lock.lock();
     }
 }
 
