Keep the sum of an owner's recent grants instead of adding them up for each request

Cause: each request for tokens added up all grants of the window, so its cost grew with their number. Change: the sum is kept with the grants. Behaviour is the same.

--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -43,18 +43,11 @@
 void expire_grants(quota_owner& owner, base::duration window, base::instant now) {
     while (!owner.recent_grants_.empty() &&
            now - owner.recent_grants_.front().granted_at_ >= window) {
+        owner.tokens_in_window_ -= owner.recent_grants_.front().tokens_;
         owner.recent_grants_.pop_front();
     }
 }
 
-std::int64_t tokens_in_window(const quota_owner& owner) {
-    std::int64_t total = 0;
-    for (const granted_tokens& grant : owner.recent_grants_) {
-        total += grant.tokens_;
-    }
-    return total;
-}
-
 // Returns the delay after which to request tokens again. It is zero unless far more tokens are
 // requested than the rate allows; requesting again soon would then only add load.
 base::duration overload_retry_delay(const quota_owner& owner) {
@@ -140,11 +133,12 @@
     const auto window_limit =
         std::max<std::int64_t>(1, std::llround(std::floor(max_tokens_per_window(limit) * share)));
     const std::int64_t left_in_window =
-        std::max<std::int64_t>(0, window_limit - tokens_in_window(owner));
+        std::max<std::int64_t>(0, window_limit - owner.tokens_in_window_);
     grant.granting_ = true;
     grant.tokens_ = take(owner.bucket_, std::min(wanted, left_in_window), now);
     if (grant.tokens_ > 0) {
         owner.recent_grants_.push_back({now, grant.tokens_});
+        owner.tokens_in_window_ += grant.tokens_;
     }
     if (grant.tokens_ < wanted) {
         const base::duration window_wait =
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -95,6 +95,8 @@
     token_bucket bucket_;
     // Grants within the window, oldest first.
     std::deque<granted_tokens> recent_grants_;
+    // Their sum.
+    std::int64_t tokens_in_window_ = 0;
     // The host acts as the organisation's owner.
     bool acting_ = false;
     // Nothing is granted before this time.
