Merge logic that stood twice in calls, target proxies, gossip and the slot queue

Cause: the decision on another attempt, the report of a target to caller proxies, the rank of a waiting request and the search for a service's targets each stood in two places. Change: one function each; a file-local function moves into the unnamed namespace.

--- a/src/config/rule_fields.cpp
+++ b/src/config/rule_fields.cpp
@@ -34,8 +34,6 @@
     return value;
 }
 
-}  // namespace
-
 // Parses digits with at most one decimal point. Signs and exponents are not allowed.
 std::optional<double> parse_decimal(std::string_view text) {
     double value = 0;
@@ -46,6 +44,8 @@
     return starts_with_digit && whole ? std::optional(value) : std::nullopt;
 }
 
+}  // namespace
+
 std::optional<base::duration> parse_duration(std::string_view text) {
     struct unit {
         std::string_view suffix_;
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -194,7 +194,7 @@
                             const frame_sender& send_reply) {
     const std::int64_t current = configuration_.version(kind);
     const base::instant now = clock_.now();
-    pull_state& pull = pulls_[kind == config_value_kind::rules ? 0 : 1];
+    pull_state& pull = pull_of(kind);
     if (version <= current) {
         return;
     }
@@ -209,7 +209,7 @@
 }
 
 void gossip::on_accepted(config_value_kind kind) {
-    pulls_[kind == config_value_kind::rules ? 0 : 1].behind_since_.reset();
+    pull_of(kind).behind_since_.reset();
 }
 
 void gossip::on_pull(const wire::config_pull& pull, const frame_sender& send_reply) {
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -97,6 +97,9 @@
 
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
+    pull_state& pull_of(config_value_kind kind) {
+        return kind == config_value_kind::rules ? rules_pull_ : hosts_pull_;
+    }
     bool is_in_zone(const std::string& host) const;
     base::duration pull_delay(const std::string& peer) const;
 
@@ -117,8 +120,8 @@
     bool other_zone_replied_ = false;
     bool synchronized_ = false;
     bool platform_failing_ = false;
-    // Of the rules and of the host list.
-    pull_state pulls_[2];
+    pull_state rules_pull_;
+    pull_state hosts_pull_;
 };
 
 }  // namespace dandelionridge::control
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -96,6 +96,7 @@
     void retry_after_refusal(const wire::attempt_refused& refusal);
     void attempt_ended(policy::attempt_outcome outcome, filter::reason reason,
                        bool budget_exempt = false);
+    policy::retry_context make_retry_context(policy::attempt_outcome outcome) const;
     void end_without_retry(policy::retry_decision decision, filter::reason reason);
     void on_deadline();
     void send_pending_body();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -210,21 +210,13 @@
     if (attempt_ == nullptr || head_sent_ || holding_failure_ || owner_.draining()) {
         return;
     }
-    policy::retry_context retry;
-    retry.outcome_ = policy::attempt_outcome::unknown;
-    retry.idempotent_ = context_.idempotent_;
-    retry.replayable_ = replayable();
-    retry.attempts_ = attempts_ + 1;
-    retry.max_attempts_ = context_.route_->attempts_;
-    retry.nested_ = nested_;
-    retry.time_left_ = time_left();
+    policy::retry_context retry = make_retry_context(policy::attempt_outcome::unknown);
+    // The attempt in progress is not counted yet.
+    ++retry.attempts_;
     const auto other = owner_.choose(context_.service_->name_, criteria(), targets_used());
     retry.other_target_ = other && !other->allow_ejected_;
     retry.run_duration_ = other ? other->run_duration_ : base::duration::zero();
-    const policy::retry_decision decision =
-        policy::decide_retry(owner_.retry_budgets_[context_.service_->name_], owner_.retry_limits(),
-                             retry, owner_.dependencies_.loop_.clock().now());
-    if (decision != policy::retry_decision::retry) {
+    if (owner_.decide_retry(context_.service_->name_, retry) != policy::retry_decision::retry) {
         return;
     }
     record_event("overdue", attempt_->target_, time_left());
@@ -354,23 +346,13 @@
         ++attempts_;
         tried_targets_.insert(attempt_->target_);
     }
-    policy::retry_context retry;
-    retry.outcome_ = outcome;
-    retry.idempotent_ = context_.idempotent_;
-    retry.replayable_ = replayable();
-    retry.attempts_ = attempts_;
-    retry.max_attempts_ = context_.route_->attempts_;
-    retry.may_have_run_before_ = may_have_run_;
+    policy::retry_context retry = make_retry_context(outcome);
     retry.budget_exempt_ = budget_exempt;
-    retry.nested_ = nested_;
-    retry.time_left_ = time_left();
     const auto other_choice = choose();
     retry.other_target_ = other_choice.has_value();
     retry.run_duration_ =
         other_choice && !budget_exempt ? other_choice->run_duration_ : base::duration::zero();
-    const base::instant now = owner_.dependencies_.loop_.clock().now();
-    const policy::retry_decision decision = policy::decide_retry(
-        owner_.retry_budgets_[context_.service_->name_], owner_.retry_limits(), retry, now);
+    const policy::retry_decision decision = owner_.decide_retry(context_.service_->name_, retry);
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_targets_.erase(attempt_->target_);
@@ -394,6 +376,20 @@
     start_attempt();
 }
 
+// Returns what the decision on another attempt depends on, except for the target that would get it.
+policy::retry_context call::make_retry_context(policy::attempt_outcome outcome) const {
+    policy::retry_context retry;
+    retry.outcome_ = outcome;
+    retry.idempotent_ = context_.idempotent_;
+    retry.replayable_ = replayable();
+    retry.attempts_ = attempts_;
+    retry.max_attempts_ = context_.route_->attempts_;
+    retry.may_have_run_before_ = may_have_run_;
+    retry.nested_ = nested_;
+    retry.time_left_ = time_left();
+    return retry;
+}
+
 void call::end_without_retry(policy::retry_decision decision, filter::reason reason) {
     if (held_failure_) {
         forward_held_failure();
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -112,13 +112,13 @@
 
 base::duration caller_proxy::usual_run_duration(const std::string& service,
                                                 policy::run_kind kind) const {
-    const config::host_list& hosts = *dependencies_.configuration_.hosts();
-    const auto found = hosts.by_service_.find(service);
-    if (found == hosts.by_service_.end()) {
+    const auto listed = find_service(service);
+    if (!listed) {
         return base::duration::zero();
     }
+    const config::host_list& hosts = *dependencies_.configuration_.hosts();
     std::vector<base::duration> durations;
-    for (const config::target_index& index : found->second) {
+    for (const config::target_index& index : listed->targets_) {
         const std::string& target = hosts.hosts_[index.host_].targets_[index.target_].name_;
         if (const target_view* view = views_.find(target)) {
             durations.push_back(run_duration_of(view->report_, kind));
@@ -198,6 +198,12 @@
                                dependencies_.loop_.clock().now());
 }
 
+policy::retry_decision caller_proxy::decide_retry(const std::string& service,
+                                                  const policy::retry_context& context) {
+    return policy::decide_retry(retry_budgets_[service], retry_limits(), context,
+                                dependencies_.loop_.clock().now());
+}
+
 policy::candidate caller_proxy::make_candidate(const config::host_entry& host,
                                                const config::target_entry& target,
                                                const config::service_rule& service,
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -163,6 +163,10 @@
     // Charges a retry to the budget of a service. Returns false if the budget does not allow it.
     bool claim_retry(const std::string& service, bool nested);
 
+    // Decides on another attempt for a request to a service, within the service's retry budget.
+    policy::retry_decision decide_retry(const std::string& service,
+                                        const policy::retry_context& context);
+
     caller_proxy_dependencies dependencies_;
     base::instant started_at_;
     base::random_engine random_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -299,15 +299,15 @@
 // that callers learn that they should use another host.
 void node::check_drained() {
     const base::duration elapsed = clock_.now() - drain_started_at_;
-    const bool idle = target_proxy_->open_attempts() == 0 && caller_proxy_->open_calls() == 0;
+    const bool no_runs = target_proxy_->open_attempts() == 0;
+    const bool idle = no_runs && caller_proxy_->open_calls() == 0;
     // Responses of requests that have just ended may not have been sent yet.
     idle_checks_ = idle ? idle_checks_ + 1 : 0;
     const base::duration min_listening = policy::listening_time(
         drain_times_, std::max(settings_.drain_idle_, environment_.readiness_lag_));
     // Runs on this host send their nested requests on new connections. Open calls do not: callers
     // that come without a break would keep a host that waits for their end from stopping.
-    const bool may_close = target_proxy_->open_attempts() == 0;
-    if (elapsed >= min_listening && may_close && caller_proxy_->listening()) {
+    if (elapsed >= min_listening && no_runs && caller_proxy_->listening()) {
         // The operating system refuses new connections from now on; requests on open connections
         // are still served.
         caller_proxy_->stop_listening();
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -181,7 +181,7 @@
     base::duration expected_wait(target_state& target, const policy::waiting_request& waiting);
     void refuse_late(target_state& target);
     void broadcast_report(const target_state& target);
-    void report_to_users(const target_state& target);
+    void send_report(const target_state& target, base::instant used_after);
     bool is_departing(const target_state& target) const;
     const target_state* find_state(const wire::attempt_begin& begin) const;
     void refuse_unrunnable_waiting();
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -100,18 +100,6 @@
     }
 }
 
-// Returns how the run ended whose response did not begin. A request that may have arrived is not
-// sent again from here: the caller proxy decides that, within its retry budget.
-attempt_result target_proxy_attempt::failure_result(net::client_failure failure) const {
-    if (failure == net::client_failure::never_sent) {
-        return attempt_result::not_run;
-    }
-    const auto idle_time = request_->idle_time();
-    return idle_time && policy::was_dropped_while_idle(*idle_time)
-               ? attempt_result::connection_lost
-               : attempt_result::invalid_response;
-}
-
 void target_proxy_attempt::cancel() {
     request_.reset();
     end(attempt_result::cancelled);
@@ -285,18 +273,25 @@
     end(valid_response() ? attempt_result::responded : attempt_result::invalid_response);
 }
 
+// A request that may have arrived is not sent again from here: the caller proxy decides that,
+// within its retry budget.
 void target_proxy_attempt::on_failed(net::client_failure failure) {
     const auto idle_time = request_->idle_time();
-    if (idle_time && policy::was_dropped_while_idle(*idle_time)) {
+    const bool dropped = idle_time && policy::was_dropped_while_idle(*idle_time);
+    if (dropped) {
         owner_.on_connection_dropped(*this, *idle_time);
     }
-    if (failure == net::client_failure::never_sent && idle_time) {
-        // Nothing of the request has left this host, so it goes out on a new connection.
-        loop_.defer([old = std::shared_ptr<net::http_client_request>(std::move(request_))] {});
-        start(*pool_, base::duration(-1));
+    if (failure == net::client_failure::maybe_sent) {
+        end(dropped ? attempt_result::connection_lost : attempt_result::invalid_response);
+        return;
+    }
+    if (!idle_time) {
+        end(attempt_result::not_run);
         return;
     }
-    end(failure_result(failure));
+    // Nothing of the request has left this host, so it goes out on a new connection.
+    loop_.defer([old = std::shared_ptr<net::http_client_request>(std::move(request_))] {});
+    start(*pool_, base::duration(-1));
 }
 
 bool target_proxy_attempt::resend_response() {
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -148,7 +148,6 @@
 
 private:
     void start(net::http_client_pool& pool, base::duration max_idle_time);
-    attempt_result failure_result(net::client_failure failure) const;
     void start_timeout(base::duration timeout);
     void begin_streaming();
     void stream_or_end();
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -162,6 +162,8 @@
 }
 
 // Records the new health state of a target and sends its report to the caller proxies that use it.
+// The others learn its state from the reply to their next attempt, so that a change costs no
+// message to each host.
 void target_proxy::record_health_change(const target_state& target) {
     const wire::target_report report = make_report(target);
     events_.record(
@@ -170,30 +172,23 @@
         : report.on_trial ? "target_on_trial"
                           : "target_readmitted",
         {{"target", target.name_}, {"suspicion_percent", std::to_string(report.suspicion)}});
-    report_to_users(target);
+    send_report(target, loop_.clock().now() - recent_use);
 }
 
-// Sends a target's report to the caller proxies that sent it attempts lately. The others learn its
-// state from the reply to their next attempt, so that a change costs no message to each host.
-void target_proxy::report_to_users(const target_state& target) {
-    const base::instant now = loop_.clock().now();
+// Sends a target's report to the caller proxies that began an attempt here after `used_after`.
+void target_proxy::send_report(const target_state& target, base::instant used_after) {
     wire::frame frame;
     frame.__set_report_(make_report(target));
     for (auto& [socket, link] : connections_) {
-        if (link.handshake_done_ && now - link.last_attempt_at_ < recent_use) {
+        if (link.handshake_done_ && link.last_attempt_at_ > used_after) {
             link.socket_->send(frame);
         }
     }
 }
 
+// Sends a target's report to all connected caller proxies.
 void target_proxy::broadcast_report(const target_state& target) {
-    wire::frame frame;
-    frame.__set_report_(make_report(target));
-    for (auto& [socket, link] : connections_) {
-        if (link.handshake_done_) {
-            link.socket_->send(frame);
-        }
-    }
+    send_report(target, base::instant::min());
 }
 
 // Applies the limit on the rate of requests that a target names in a response, or ends it.
--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace dandelionridge::policy {
 
@@ -35,13 +36,18 @@
     return request.deadline_at_ - now - request.run_duration_;
 }
 
-// Returns the longest time that a waiting request has waited of those that `selected` accepts.
-template <typename predicate>
-base::duration longest_wait(const slot_queue& queue, base::instant now, predicate selected) {
+// Requests of a lower rank are served first, those of the same rank in turn.
+std::pair<int, int> rank_of(const waiting_request& request, base::instant now) {
+    return {priority_class(request, now), request.priority_};
+}
+
+// Returns the longest time that those have waited which are served before a newly arrived request.
+base::duration head_delay(const slot_queue& queue, const waiting_request& request,
+                          base::instant now) {
     base::duration longest{};
-    for (const waiting_request& request : queue.waiting_) {
-        if (selected(request)) {
-            longest = std::max(longest, now - request.arrived_at_);
+    for (const waiting_request& other : queue.waiting_) {
+        if (rank_of(other, now) <= rank_of(request, now)) {
+            longest = std::max(longest, now - other.arrived_at_);
         }
     }
     return longest;
@@ -58,8 +64,8 @@
 
 // Requests are served in ascending order of this key.
 auto sort_key(const slot_queue& queue, const waiting_request& request, base::instant now) {
-    return std::tuple(priority_class(request, now), request.priority_,
-                      virtual_start_time(queue, request), request.arrived_at_, request.id_);
+    return std::tuple(rank_of(request, now), virtual_start_time(queue, request),
+                      request.arrived_at_, request.id_);
 }
 
 // Advances the virtual times for a request that leaves the queue for a slot.
@@ -143,25 +149,20 @@
 
 std::size_t count_ahead(const slot_queue& queue, const waiting_request& request,
                         base::instant now) {
-    const auto rank = std::tuple(priority_class(request, now), request.priority_);
-    return static_cast<std::size_t>(std::count_if(
-        queue.waiting_.begin(), queue.waiting_.end(), [&](const waiting_request& other) {
-            return std::tuple(priority_class(other, now), other.priority_) <= rank;
-        }));
+    const auto rank = rank_of(request, now);
+    return static_cast<std::size_t>(
+        std::count_if(queue.waiting_.begin(), queue.waiting_.end(),
+                      [&](const waiting_request& other) { return rank_of(other, now) <= rank; }));
 }
 
 bool can_end_in_time(const slot_queue& queue, const waiting_request& request, base::duration wait,
                      base::instant now) {
-    const auto rank = std::tuple(priority_class(request, now), request.priority_);
-    const base::duration head_delay =
-        std::max(wait, longest_wait(queue, now, [&](const waiting_request& other) {
-                     return std::tuple(priority_class(other, now), other.priority_) <= rank;
-                 }));
-    const base::duration slack = slack_of(request, now);
-    if (slack < head_delay) {
+    const base::duration predicted_wait = std::max(wait, head_delay(queue, request, now));
+    if (slack_of(request, now) < predicted_wait) {
         return false;
     }
-    const bool stays_on_time = request.objective_at_ - now >= head_delay + request.run_duration_;
+    const bool stays_on_time =
+        request.objective_at_ - now >= predicted_wait + request.run_duration_;
     return stays_on_time || !queue.late_starve_;
 }
 
