Share the steps of the tests of planned stops and of the HTTP client

Cause: two tests of a stop under load, two of late requests during a stop and two stubs that listen repeated each other's steps.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -22,20 +22,33 @@
 
 enum class ending { close, reset, keep_open };
 
+struct loopback_listener {
+    int fd_ = -1;
+    sockaddr_in address_{};
+};
+
+// Listens on a free port of the loopback address.
+loopback_listener listen_on_loopback(int backlog) {
+    loopback_listener listener;
+    listener.fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    listener.address_.sin_family = AF_INET;
+    listener.address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* address = reinterpret_cast<sockaddr*>(&listener.address_);
+    socklen_t length = sizeof(listener.address_);
+    REQUIRE(bind(listener.fd_, address, length) == 0);
+    listen(listener.fd_, backlog);
+    getsockname(listener.fd_, address, &length);
+    return listener;
+}
+
 // Accepts one connection, reads the request, writes the pieces one by one with a delay after each,
 // and then ends the connection as `end` says.
 class scripted_server {
 public:
     scripted_server(std::vector<std::string> pieces, ending end) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in socket_address{};
-        socket_address.sin_family = AF_INET;
-        socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(socket_address);
-        REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&socket_address), length) == 0);
-        listen(listener_, 1);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&socket_address), &length);
-        address_ = {"127.0.0.1", ntohs(socket_address.sin_port)};
+        const loopback_listener listener = listen_on_loopback(1);
+        listener_ = listener.fd_;
+        address_ = {"127.0.0.1", ntohs(listener.address_.sin_port)};
         thread_ = std::thread([this, pieces = std::move(pieces), end] { serve(pieces, end); });
     }
     scripted_server(const scripted_server&) = delete;
@@ -80,18 +93,13 @@
 class unreachable_server {
 public:
     unreachable_server() {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in socket_address{};
-        socket_address.sin_family = AF_INET;
-        socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(socket_address);
-        REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&socket_address), length) == 0);
-        listen(listener_, 0);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&socket_address), &length);
-        address_ = {"127.0.0.1", ntohs(socket_address.sin_port)};
+        const loopback_listener listener = listen_on_loopback(0);
+        listener_ = listener.fd_;
+        address_ = {"127.0.0.1", ntohs(listener.address_.sin_port)};
         for (int& fd : fillers_) {
             fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            static_cast<void>(connect(fd, reinterpret_cast<sockaddr*>(&socket_address), length));
+            static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&listener.address_),
+                                      sizeof(listener.address_)));
         }
     }
     unreachable_server(const unreachable_server&) = delete;
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -26,7 +26,13 @@
     return plan;
 }
 
-void check_all_complete(const traffic& traffic, const traffic_counts& counts) {
+// Stops h2 under that traffic. Every request must be completed, and none may run twice.
+void check_stop_interrupts_nothing(fleet& fleet, traffic& traffic) {
+    REQUIRE(wait_for_requests(traffic));
+    fleet.host("h2").send_signal(SIGTERM);
+    CHECK(fleet.host("h2").wait() == 0);
+    REQUIRE(wait_for_requests(traffic));
+    const traffic_counts counts = traffic.finish();
     std::string refusals;
     for (const auto& [reason, count] : traffic.refusals_by_reason()) {
         refusals += reason + ": " + std::to_string(count) + "; ";
@@ -38,6 +44,39 @@
     CHECK(counts.not_run_ == 0);
 }
 
+fleet_plan short_stop_plan(const std::string& target_host) {
+    fleet_plan plan = orders_plan({"z1", "z2"}, {target_host}, "slots=5 timeout=20s");
+    plan.extra_settings_ += "drain_bound = 4s\n";
+    return plan;
+}
+
+bool refused_as_stopping(const caller_response& response) {
+    return response.outcome() == "not_run" && response.reason() == "stopping";
+}
+
+// Begins a stop of h1 while a run that outlasts it is open, and sends h1 requests until a response
+// satisfies `last`. Each is passed to `check` before. The request of the run gets its response, and
+// h1 ends.
+template <typename check_response, typename is_last>
+void send_during_stop(fleet& fleet, check_response check, is_last last) {
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
+    auto held_response = send_in_background(order_request(fleet, "h1", "a", "POST"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
+    fleet.target("t1").set({});
+    fleet.host("h1").send_signal(SIGTERM);
+    caller caller;
+    int sent = 0;
+    REQUIRE(wait_for([&] {
+        const auto response =
+            caller.send(order_request(fleet, "h1", "n" + std::to_string(sent++), "POST"));
+        check(response);
+        return last(response);
+    }));
+    CHECK(held_response.get().outcome() == "unknown");
+    CHECK(fleet.host("h1").wait() == 0);
+}
+
 }  // namespace
 
 TEST_CASE("a planned stop under load interrupts no request", "[promise-planned-stop]") {
@@ -47,12 +86,7 @@
         fleet.target(target).set({.delay_ = std::chrono::milliseconds(20)});
     }
     traffic traffic(fleet, orders_traffic({"h1", "h2", "h3"}));
-    REQUIRE(wait_for_requests(traffic));
-    fleet.host("h2").send_signal(SIGTERM);
-    CHECK(fleet.host("h2").wait() == 0);
-    REQUIRE(wait_for_requests(traffic));
-    const traffic_counts counts = traffic.finish();
-    check_all_complete(traffic, counts);
+    check_stop_interrupts_nothing(fleet, traffic);
 }
 
 TEST_CASE("a planned stop of a host that is never idle interrupts no request",
@@ -66,12 +100,7 @@
     traffic_plan plan = orders_traffic({"h2", "h3"});
     plan.keys_.assign(8, bends_key);
     traffic traffic(fleet, plan);
-    REQUIRE(wait_for_requests(traffic));
-    fleet.host("h2").send_signal(SIGTERM);
-    CHECK(fleet.host("h2").wait() == 0);
-    REQUIRE(wait_for_requests(traffic));
-    const traffic_counts counts = traffic.finish();
-    check_all_complete(traffic, counts);
+    check_stop_interrupts_nothing(fleet, traffic);
 }
 
 TEST_CASE("a signal during startup does not end the process", "[promise-planned-stop]") {
@@ -171,46 +200,19 @@
 TEST_CASE("late in a planned stop new requests are refused, not accepted and abandoned",
           "[promise-planned-stop]") {
     // The run on the stopping host keeps it listening, for the requests that the run makes.
-    fleet_plan plan = orders_plan({"z1", "z2"}, {"h1"}, "slots=5 timeout=20s");
-    plan.extra_settings_ += "drain_bound = 4s\n";
-    fleet fleet(plan);
-    fleet.start_all();
-    fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
-    auto held_response = send_in_background(order_request(fleet, "h1", "a", "POST"));
-    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
-    fleet.target("t1").set({});
-    fleet.host("h1").send_signal(SIGTERM);
-    caller caller;
-    int sent = 0;
-    REQUIRE(wait_for([&] {
-        const auto response =
-            caller.send(order_request(fleet, "h1", "n" + std::to_string(sent++), "POST"));
-        return response.outcome() == "not_run" && response.reason() == "stopping";
-    }));
-    CHECK(held_response.get().outcome() == "unknown");
-    CHECK(fleet.host("h1").wait() == 0);
+    fleet fleet(short_stop_plan("h1"));
+    send_during_stop(
+        fleet, [](const caller_response&) {}, refused_as_stopping);
 }
 
 TEST_CASE("a stopping host without runs completes what it accepted and then accepts nothing",
           "[promise-planned-stop]") {
-    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=20s");
-    plan.extra_settings_ += "drain_bound = 4s\n";
-    fleet fleet(plan);
-    fleet.start_all();
-    fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
-    auto held_response = send_in_background(order_request(fleet, "h1", "a", "POST"));
-    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
-    fleet.target("t1").set({});
-    fleet.host("h1").send_signal(SIGTERM);
-    caller caller;
-    int sent = 0;
-    REQUIRE(wait_for([&] {
-        const auto response =
-            caller.send(order_request(fleet, "h1", "n" + std::to_string(sent++), "POST"));
-        CHECK((response.connect_failed_ || response.status_ == 200 ||
-               (response.outcome() == "not_run" && response.reason() == "stopping")));
-        return response.connect_failed_;
-    }));
-    CHECK(held_response.get().outcome() == "unknown");
-    CHECK(fleet.host("h1").wait() == 0);
+    fleet fleet(short_stop_plan("h2"));
+    send_during_stop(
+        fleet,
+        [](const caller_response& response) {
+            CHECK((response.connect_failed_ || response.status_ == 200 ||
+                   refused_as_stopping(response)));
+        },
+        [](const caller_response& response) { return response.connect_failed_; });
 }
