Let slow targets end their runs themselves before a stopping host answers for them

What callers saw: after SIGTERM a request at whose target the run was still in progress was given up, with 504 and an unknown outcome from the stopping host.

Cause: a host that stops told the targets of the requests that it still accepted a deadline equal to the moment at which it itself answers everything that is open (88% of the grace time), and the target proxy's timer expired at that moment too. A target that honours its deadline responded just too late, after the fleet had answered for it. Nested requests are accepted until 75%, so on a grace time of 6 s a slowed run was cut after 0.78 s.

Change: runs that begin during a stop get a deadline at 84% of the grace time, before the host's own responses at 88%; acceptance and retries count with it. The target proxy waits 250 ms beyond a running attempt's deadline for the target's own response, and counts a 504 at the deadline like a timeout: against the target only if the run took far longer than expected.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -139,6 +139,11 @@
     return std::min(deadline_, owner_.stop_deadline()) - owner_.dependencies_.loop_.clock().now();
 }
 
+// Returns the time that a run which begins now may take.
+base::duration call::run_time_left() const {
+    return std::min(deadline_, owner_.run_deadline()) - owner_.dependencies_.loop_.clock().now();
+}
+
 void call::end_now() {
     if (!finished_ && !head_sent_) {
         on_deadline();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -78,7 +78,8 @@
 }
 
 void call::start_attempt() {
-    const auto chosen = choose();
+    const bool time_left_to_run = run_time_left() > base::duration::zero();
+    const auto chosen = time_left_to_run ? choose() : std::nullopt;
     if (!chosen) {
         if (head_sent_) {
             abort_response();
@@ -116,7 +117,7 @@
     begin.method = context_.request_.method_;
     begin.path = context_.request_.path_;
     begin.deadline_ms =
-        static_cast<std::int32_t>(std::max<std::int64_t>(1, base::whole_ms(time_left())));
+        static_cast<std::int32_t>(std::max<std::int64_t>(1, base::whole_ms(run_time_left())));
     begin.idempotent = context_.idempotent_;
     begin.caller_service = owner_.dependencies_.settings_.target_service_;
     begin.priority = context_.priority_;
@@ -386,7 +387,7 @@
     retry.max_attempts_ = context_.route_->attempts_;
     retry.may_have_run_before_ = may_have_run_;
     retry.nested_ = nested_;
-    retry.time_left_ = time_left();
+    retry.time_left_ = run_time_left();
     return retry;
 }
 
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -110,6 +110,10 @@
     return drain_ ? drain_->started_at_ + drain_->times_.respond_by_ : base::instant::max();
 }
 
+base::instant caller_proxy::run_deadline() const {
+    return drain_ ? drain_->started_at_ + drain_->times_.runs_end_by_ : base::instant::max();
+}
+
 base::duration caller_proxy::usual_run_duration(const std::string& service,
                                                 policy::run_kind kind) const {
     const auto listed = find_service(service);
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -138,6 +138,10 @@
     // Returns the time by which an accepted request must have ended because this process stops.
     base::instant stop_deadline() const;
 
+    // Returns the time by which a target must have ended its run because this process stops. It is
+    // earlier than stop_deadline(), so that the target's own response arrives in time.
+    base::instant run_deadline() const;
+
     // Returns the median of the reported durations of that kind of run; zero if none is known.
     base::duration usual_run_duration(const std::string& service, policy::run_kind kind) const;
 
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -172,6 +172,7 @@
                     int factor) const;
     void record_overdue_runs();
     void record_outcome(target_state& target, policy::run_outcome outcome);
+    bool ended_at_deadline(const target_proxy_attempt& attempt) const;
     bool failed_by_target(const target_proxy_attempt& attempt, attempt_result result) const;
     wire::target_report make_report(const target_state& target) const;
     void record_health_change(const target_state& target);
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -16,6 +16,9 @@
 constexpr int min_error_status = 400;
 constexpr int status_misdirected = 421;
 
+// A target that ends its run at the deadline still gets its own response through in this time.
+constexpr base::duration response_margin = base::milliseconds(250);
+
 // Maximum time without bytes from the target during a streamed response.
 constexpr base::duration body_progress_timeout = base::seconds(10);
 
@@ -90,6 +93,7 @@
 void target_proxy_attempt::run(net::http_client_pool& pool, base::duration max_idle_time) {
     pool_ = &pool;
     run_started_at_ = loop_.clock().now();
+    start_timeout(deadline_ - run_started_at_ + response_margin);
     start(pool, max_idle_time);
 }
 
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -175,7 +175,8 @@
     wire::attempt_begin begin_;
     base::instant deadline_;
     base::instant run_started_at_{};
-    // Expires at the deadline or, once the response is streamed, when it makes no progress.
+    // Expires at the deadline, or shortly after it if the attempt runs then. Once the response is
+    // streamed, expires when it makes no progress.
     net::timer timeout_timer_;
     net::http_client_pool* pool_ = nullptr;
     std::unique_ptr<net::http_client_request> request_;
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -20,6 +20,9 @@
 constexpr int overdue_end_factor = 3;
 constexpr int overdue_run_factor = 5;
 constexpr int min_server_error_status = 500;
+constexpr int status_gateway_timeout = 504;
+// A target may find slightly earlier than this process that a deadline has passed.
+constexpr base::duration deadline_tolerance = base::milliseconds(20);
 // A caller proxy counts as a user of this host's targets for this time after an attempt.
 constexpr base::duration recent_use = base::seconds(15);
 constexpr double percent = 100;
@@ -77,6 +80,12 @@
     }
 }
 
+// Returns true if the target ended the run because the request's deadline had passed.
+bool target_proxy::ended_at_deadline(const target_proxy_attempt& attempt) const {
+    return attempt.response().head_.status == status_gateway_timeout &&
+           loop_.clock().now() >= attempt.deadline() - deadline_tolerance;
+}
+
 // Returns true if the outcome of a run counts as a failure of its target. Server errors, timeouts
 // and cancelled runs do not count if a call that the target made failed since the run began,
 // because that call may be the cause.
@@ -88,6 +97,9 @@
     }
     switch (result) {
         case attempt_result::responded:
+            if (ended_at_deadline(attempt)) {
+                return is_overdue(targets_.at(attempt.target_key()), attempt, overdue_end_factor);
+            }
             return attempt.response().head_.status >= min_server_error_status &&
                    last_failed_call_at_ < attempt.run_started_at();
         case attempt_result::invalid_response:
--- a/src/policy/drain.cpp
+++ b/src/policy/drain.cpp
@@ -10,6 +10,7 @@
 // gets the processor late.
 constexpr double accept_share = 0.5;
 constexpr double accept_nested_share = 0.75;
+constexpr double run_end_share = 0.84;
 constexpr double respond_share = 0.88;
 constexpr double exit_share = 0.93;
 
@@ -28,7 +29,8 @@
 
 drain_times drain_times_for(base::duration bound) {
     return {share_of(bound, accept_share), share_of(bound, accept_nested_share),
-            share_of(bound, respond_share), share_of(bound, exit_share)};
+            share_of(bound, run_end_share), share_of(bound, respond_share),
+            share_of(bound, exit_share)};
 }
 
 bool accepts_while_draining(const drain_times& times, base::duration elapsed,
@@ -36,7 +38,7 @@
     const base::duration latest = nested ? times.accept_nested_until_ : times.accept_until_;
     const base::duration earliest =
         share_of(latest, always_accept_share / (nested ? accept_nested_share : accept_share));
-    const base::duration by_run = times.respond_by_ - run_duration_factor * run_duration;
+    const base::duration by_run = times.runs_end_by_ - run_duration_factor * run_duration;
     return elapsed < std::clamp(by_run, earliest, latest);
 }
 
--- a/src/policy/drain.h
+++ b/src/policy/drain.h
@@ -14,6 +14,9 @@
     base::duration accept_until_{};
     // The same for nested requests, which runs on this host make.
     base::duration accept_nested_until_{};
+    // Targets must end by then the runs that are accepted during the stop, so that their own
+    // responses still reach the callers.
+    base::duration runs_end_by_{};
     // Requests that are still open get a final response.
     base::duration respond_by_{};
     // The process ends, even if requests are open.
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -12,7 +12,8 @@
         const base::duration bound = base::seconds(bound_s);
         const drain_times times = drain_times_for(bound);
         CHECK(times.accept_until_ < times.respond_by_);
-        CHECK(times.accept_nested_until_ < times.respond_by_);
+        CHECK(times.accept_nested_until_ < times.runs_end_by_);
+        CHECK(times.runs_end_by_ < times.respond_by_);
         CHECK(times.respond_by_ < times.exit_by_);
         CHECK(times.exit_by_ < bound);
         for (const int run_ms : {0, 50, 200, 750, 2000, 20'000}) {
@@ -22,7 +23,7 @@
             for (int percent = 30; percent < 100; ++percent) {
                 const base::duration elapsed = bound * percent / 100;
                 if (accepts_while_draining(times, elapsed, run, false)) {
-                    CHECK(elapsed + 4 * run <= times.respond_by_);
+                    CHECK(elapsed + 4 * run <= times.runs_end_by_);
                 }
             }
             CHECK(accepts_while_draining(times, bound / 4, run, false));
@@ -36,6 +37,7 @@
     const drain_times twice = drain_times_for(base::seconds(12));
     CHECK(twice.accept_until_ == 2 * times.accept_until_);
     CHECK(twice.accept_nested_until_ == 2 * times.accept_nested_until_);
+    CHECK(twice.runs_end_by_ == 2 * times.runs_end_by_);
     CHECK(twice.respond_by_ == 2 * times.respond_by_);
     CHECK(twice.exit_by_ == 2 * times.exit_by_);
 }
--- a/tests/process_drain_test.cpp
+++ b/tests/process_drain_test.cpp
@@ -81,3 +81,35 @@
     CHECK(answered > 0);
     CHECK(fleet.host(1).wait() == 0);
 }
+
+// Guards against: a call that a run made late in a planned stop was given up by the stopping host
+// although its target was still at work on it.
+TEST_CASE("a call whose target turns slow late in a planned stop gets the target's own response",
+          "[planned-stop]") {
+    constexpr std::chrono::seconds call_delay(20);
+    constexpr std::chrono::milliseconds response_lag(20);
+    store_fleet fleet({"orders", "catalogue", "catalogue"}, 50, "drain_bound = 10s\n");
+    fleet.start_all();
+    const auto call = [&](const std::string& id) {
+        caller run;
+        return run.send(store_fleet::nested_request_to("catalogue", 1, id));
+    };
+    for (int i = 0; i < 10; ++i) {
+        CHECK(call("first-" + std::to_string(i)).status_ == 200);
+    }
+    // The run on the stopping host keeps it listening.
+    fleet.set_target(1, {.delay_ = call_delay});
+    auto order = send_in_background(fleet.request_to("orders", 2, "order", "POST"));
+    REQUIRE(wait_for([&] { return fleet.target(1).total_runs() == 1; }));
+    fleet.host(1).send_signal(SIGTERM);
+    for (const std::size_t host : {std::size_t{2}, std::size_t{3}}) {
+        fleet.set_target(host, {.delay_ = call_delay, .deadline_response_lag_ = response_lag});
+    }
+    const caller_response response = call("late");
+    CHECK(response.complete_);
+    CHECK(response.status_ == 504);
+    CHECK(response.header("x-response-seal") == "seal");
+    CHECK(response.outcome().empty());
+    static_cast<void>(order.get());
+    CHECK(fleet.host(1).wait() == 0);
+}
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -84,9 +84,40 @@
         if (behaviour_.mode_ == target_mode::hang) {
             return;
         }
+        if (const auto deadline = deadline_before(behaviour_.delay_)) {
+            delay_.start(*deadline + *behaviour_.deadline_response_lag_,
+                         [this] { respond_at_deadline(); });
+            return;
+        }
         delay_.start(behaviour_.delay_, [this] { respond(); });
     }
 
+    // Returns the time left to the request's deadline if the target honours it and it passes within
+    // `delay`.
+    std::optional<base::duration> deadline_before(base::duration delay) const {
+        const std::string* text = net::find_header(request_.headers_, "x-deadline-ms");
+        if (text == nullptr || !behaviour_.deadline_response_lag_) {
+            return std::nullopt;
+        }
+        const base::duration deadline = base::milliseconds(std::stoll(*text));
+        return deadline < delay ? std::optional(deadline) : std::nullopt;
+    }
+
+    void respond_at_deadline() {
+        net::http_response response;
+        response.status_ = 504;
+        response.headers_ = behaviour_.headers_;
+        add_request_id(response.headers_);
+        net::send_response(exchange_, std::move(response), "deadline\n");
+    }
+
+    void add_request_id(std::vector<net::http_header>& headers) const {
+        const std::string* id = net::find_header(request_.headers_, net::request_id_header);
+        if (id != nullptr && behaviour_.echoes_request_id_) {
+            headers.push_back({std::string(net::request_id_header), *id});
+        }
+    }
+
     void respond() {
         const bool closes = behaviour_.mode_ == target_mode::close_after_run ||
                             (behaviour_.mode_ == target_mode::close_every_other &&
@@ -102,10 +133,7 @@
             net::send_response(exchange_, std::move(refusal), "full\n");
             return;
         }
-        if (const std::string* id = net::find_header(request_.headers_, net::request_id_header);
-            id != nullptr && behaviour_.echoes_request_id_) {
-            behaviour_.headers_.push_back({std::string(net::request_id_header), *id});
-        }
+        add_request_id(behaviour_.headers_);
         if (is_endless()) {
             begin_endless_body();
             return;
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,6 +52,9 @@
     bool chunked_ = false;
     // Further headers of every response but those of mode shed.
     std::vector<net::http_header> headers_{};
+    // A run that would take longer than its request's x-deadline-ms ends then, with 504. The
+    // response takes this time to arrive. Not set: the header is ignored.
+    std::optional<base::duration> deadline_response_lag_{};
     // Responses repeat the x-request-id of their request, except in modes shed and stray_refusal.
     bool echoes_request_id_ = false;
 };
