--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -85,6 +85,11 @@
     refuse_unrunnable_waiting();
 }
 
+bool target_proxy::all_sent() const {
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto& entry) { return entry.second.socket_->all_sent(); });
+}
+
 void target_proxy::on_open(net::frame_socket& /*socket*/) {}
 
 void target_proxy::on_frame(net::frame_socket& socket, wire::frame&& frame) {
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -66,6 +66,9 @@
     // Returns the number of attempts that are queued or running.
     std::size_t open_attempts() const { return attempts_.size(); }
 
+    // Returns true if no link has bytes queued for sending.
+    bool all_sent() const;
+
     const target_proxy_counters& counters() const { return counters_; }
 
     void on_open(net::frame_socket& socket) override;
--- a/tests/process_drain_test.cpp
+++ b/tests/process_drain_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <future>
 #include <string>
 #include <thread>
@@ -148,3 +149,34 @@
     }
     CHECK(fleet.host(1).wait() == 0);
 }
+
+// Guards against: a stopping host ended while responses of its target were still queued for a
+// caller proxy that read slowly, so that requests that had run were answered with a failure.
+TEST_CASE("responses reach a slow caller proxy before a stopping host ends", "[planned-stop]") {
+    constexpr std::size_t request_count = 20;
+    constexpr std::uint64_t response_bytes = 900'000;
+    store_fleet fleet({"orders", "catalogue"}, 30, "drain_bound = 15s\n");
+    fleet.start_all();
+    // Longer than the host listens after the signal.
+    fleet.set_target(1, {.delay_ = std::chrono::seconds(3)});
+    std::vector<std::future<caller_response>> responses;
+    for (std::size_t i = 0; i < request_count; ++i) {
+        const std::string id =
+            "download-" + std::to_string(i) + "?bytes=" + std::to_string(response_bytes);
+        responses.push_back(send_in_background(fleet.request_to("orders", 2, id, "GET")));
+    }
+    REQUIRE(wait_for([&] { return fleet.target(1).total_runs() == request_count; }));
+    fleet.host(1).send_signal(SIGTERM);
+    // Host 2 does not read while the responses arrive.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    fleet.host(2).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    fleet.host(2).send_signal(SIGCONT);
+    for (std::size_t i = 0; i < request_count; ++i) {
+        INFO("request " << i);
+        const caller_response response = responses[i].get();
+        CHECK(response.status_ == 200);
+        CHECK(response.body_bytes_ == response_bytes);
+    }
+    CHECK(fleet.host(1).wait() == 0);
+}
