Read the store anew when it has come back from a copy

Cause: the feed took the store's revision for a clock that only rises. The store may come back from a copy some seconds old, and then gives revisions out again; it says so by the header Store-Era, which nothing read. This is the class of fault of a logical clock without an epoch.

Seen: a list that was read after a restore was ignored until the revisions had passed those of before it, so that new targets got no requests and leaving ones went on getting them; a watch after a revision that was given out again got the later events and missed those before; a read could join pages of two eras.

Event: platform_restored, with era and revision.

--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -26,6 +26,9 @@
     std::function<void(const base::error&)> failed_;
     // The platform replies, for the first time or again after a failure.
     std::function<void()> recovered_;
+    // The platform has come back from a copy, in the given era and at the given revision of its
+    // own, and is read anew. Called before the values read are passed to published_.
+    std::function<void(std::int64_t era, std::int64_t revision)> restored_;
     // A hold has begun or ended, or its missing targets have changed. Called before published_ is
     // called with a list that lacks them.
     std::function<void(const platform_hold&)> hold_changed_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -198,6 +198,10 @@
         gossip_.set_platform_failing(false);
         record("platform_answers", {});
     };
+    callbacks.restored_ = [this](std::int64_t era, std::int64_t revision) {
+        record("platform_restored",
+               {{"era", std::to_string(era)}, {"revision", std::to_string(revision)}});
+    };
     callbacks.hold_changed_ = [this](const control::platform_hold& hold) { on_hold(hold); };
     feed_ = environment_.make_feed_(*loop_, settings_, std::move(callbacks));
 }
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -51,6 +51,7 @@
                 ++failures_;
             };
             callbacks.recovered_ = [] {};
+            callbacks.restored_ = [](std::int64_t, std::int64_t) {};
             callbacks.hold_changed_ = [](const control::platform_hold&) {};
             feed_ = std::make_unique<store_feed>(
                 thread_.loop(), store_address,
@@ -91,6 +92,8 @@
 
 const std::string configuration = R"({"version":"00000003","resources":[]})";
 
+constexpr std::int64_t era = 1;
+
 store_item make_item(const std::string& id, std::int64_t revision) {
     return {"servers/" + id, "value", revision, false};
 }
@@ -167,10 +170,10 @@
     const base::instant start{base::seconds(100)};
     store_view view;
     const std::vector<store_item> all = {make_item("a", 1), make_item("b", 2)};
-    CHECK(apply_snapshot(view, all, 5, start).servers_);
+    CHECK(apply_snapshot(view, all, era, 5, start).servers_);
     // An outage ends, and the store lacks b.
     begin_hold(view, start);
-    CHECK(apply_snapshot(view, std::vector<store_item>{make_item("a", 1)}, 7, start).servers_);
+    CHECK(apply_snapshot(view, std::vector<store_item>{make_item("a", 1)}, era, 7, start).servers_);
     CHECK(server_lines(view) == std::vector<std::string>{"a value"});
     CHECK(view.missing_ == std::set<std::string>{"b"});
     SECTION("an entry that comes back is listed again") {
@@ -207,7 +210,8 @@
 TEST_CASE("without an outage a removal takes effect at once", "[platform]") {
     const base::instant start{base::seconds(100)};
     store_view view;
-    apply_snapshot(view, std::vector<store_item>{make_item("a", 1), make_item("b", 2)}, 5, start);
+    apply_snapshot(view, std::vector<store_item>{make_item("a", 1), make_item("b", 2)}, era, 5,
+                   start);
     store_item deleted = make_item("b", 6);
     deleted.deleted_ = true;
     CHECK(apply_events(view, std::vector<store_item>{deleted}, start).servers_);
--- a/tests/platform_odd_entry_test.cpp
+++ b/tests/platform_odd_entry_test.cpp
@@ -107,7 +107,7 @@
         store_view view;
         const std::vector<store_item> items = {{"servers/good-1", entry_of({}), 3, false},
                                                {"servers/odd", odd.text_, 4, false}};
-        apply_snapshot(view, items, 4, {});
+        apply_snapshot(view, items, first_era, 4, {});
         const auto decoded = decode(server_lines(view), {"s1"});
         REQUIRE(decoded);
         CHECK(host_names(*decoded->hosts_) == std::vector<std::string>{"10.1.0.9"});
@@ -133,7 +133,7 @@
         const std::vector<store_item> items = {
             {"servers/good-1", entry_of({}), 3, false},
             {"servers/" + id, entry_of({.address_ = R"("10.1.0.8:8080")"}), 4, false}};
-        apply_snapshot(view, items, 4, {});
+        apply_snapshot(view, items, first_era, 4, {});
         const auto decoded = decode(server_lines(view), {});
         REQUIRE(decoded);
         CHECK(host_names(*decoded->hosts_) == std::vector<std::string>{"10.1.0.9"});
--- a/tests/support/store_stub.cpp
+++ b/tests/support/store_stub.cpp
@@ -1,6 +1,7 @@
 #include "support/store_stub.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/base64.h"
 
@@ -49,20 +50,22 @@
     void on_body_end() override {}
     void on_sent(std::size_t /*bytes*/) override {}
 
-    // Responds to a watch if events after its revision exist, or with 410 if they were compacted.
+    // Responds to a watch if events after its revision exist, or with 410 if they were compacted or
+    // the store does not have that revision.
     void send_new_events() {
-        if (query_number(path_, "after") < store_.compacted_revision_) {
+        const std::int64_t after = query_number(path_, "after");
+        if (after < store_.state_.compacted_revision_ || after > store_.state_.revision_) {
             respond(410, json::object());
             return;
         }
         json events = json::array();
-        for (const store_stub::change& item : store_.history_) {
-            if (item.revision_ > query_number(path_, "after")) {
+        for (const store_stub::change& item : store_.state_.history_) {
+            if (item.revision_ > after) {
                 events.push_back(to_json(item));
             }
         }
         if (!events.empty()) {
-            respond(200, {{"events", events}, {"storeRevision", store_.revision_}});
+            respond(200, {{"events", events}, {"storeRevision", store_.state_.revision_}});
         }
     }
 
@@ -92,11 +95,16 @@
             respond_with_range();
             return;
         }
+        if (path_.starts_with("/api/kv-key")) {
+            respond_with_item();
+            return;
+        }
         store_.watchers_.insert(this);
         send_new_events();
         if (!responded_) {
             wait_timer_.start(base::milliseconds(query_number(path_, "waitMs")), [this] {
-                respond(200, {{"events", json::array()}, {"storeRevision", store_.revision_}});
+                respond(200,
+                        {{"events", json::array()}, {"storeRevision", store_.state_.revision_}});
             });
         }
     }
@@ -112,11 +120,24 @@
                 {"lease", 0}};
     }
 
+    void respond_with_item() {
+        constexpr int not_found_status = 404;
+        const auto found = store_.state_.items_.find(query_parameter(path_, "key"));
+        if (found == store_.state_.items_.end()) {
+            respond(not_found_status, json::object());
+        } else {
+            respond(200, to_json(found->second));
+        }
+    }
+
     void respond_with_range() {
         json items = json::array();
         bool has_more = false;
         const std::string after = query_parameter(path_, "after");
-        for (const auto& [key, item] : store_.items_) {
+        if (!after.empty() && store_.restored_at_next_page_) {
+            store_.go_back_to(*std::exchange(store_.restored_at_next_page_, std::nullopt));
+        }
+        for (const auto& [key, item] : store_.state_.items_) {
             if (key <= after) {
                 continue;
             }
@@ -126,8 +147,9 @@
             }
             items.push_back(to_json(item));
         }
-        respond(200,
-                {{"items", items}, {"hasMore", has_more}, {"storeRevision", store_.revision_}});
+        respond(
+            200,
+            {{"items", items}, {"hasMore", has_more}, {"storeRevision", store_.state_.revision_}});
     }
 
     void respond(int status, const json& body) { send_body(status, body.dump()); }
@@ -140,6 +162,8 @@
         store_.watchers_.erase(this);
         net::http_response response;
         response.status_ = status;
+        response.headers_ = {{"store-era", store_.named_era_.empty() ? std::to_string(store_.era_)
+                                                                     : store_.named_era_}};
         net::send_response(exchange_, std::move(response), body);
     }
 
@@ -179,30 +203,63 @@
     }
 }
 
+void store_stub::write(const std::string& key, const std::string& value) {
+    state_.items_[key] = {key, value, ++state_.revision_, false};
+    state_.history_.push_back(state_.items_[key]);
+}
+
 void store_stub::put(const std::string& key, const std::string& value) {
     thread_.run([&] {
-        items_[key] = {key, value, ++revision_, false};
-        history_.push_back(items_[key]);
+        write(key, value);
         notify_watchers();
     });
 }
 
 void store_stub::erase(const std::string& key) {
     thread_.run([&] {
-        items_.erase(key);
-        history_.push_back({key, "", ++revision_, true});
+        state_.items_.erase(key);
+        state_.history_.push_back({key, "", ++state_.revision_, true});
         notify_watchers();
     });
 }
 
 void store_stub::compact() {
     thread_.run([&] {
-        history_.clear();
-        compacted_revision_ = ++revision_;
+        state_.history_.clear();
+        state_.compacted_revision_ = ++state_.revision_;
+        notify_watchers();
+    });
+}
+
+store_stub::copy store_stub::make_copy() {
+    copy made;
+    thread_.run([&] { made = state_; });
+    return made;
+}
+
+void store_stub::go_back_to(const copy& source) {
+    state_ = source;
+    ++era_;
+}
+
+void store_stub::restore(const copy& source, const writes& rewritten) {
+    thread_.run([&] {
+        go_back_to(source);
+        for (const auto& [key, value] : rewritten) {
+            write(key, value);
+        }
         notify_watchers();
     });
 }
 
+void store_stub::restore_at_next_page(const copy& source) {
+    thread_.run([&] { restored_at_next_page_ = source; });
+}
+
+void store_stub::set_named_era(const std::string& era) {
+    thread_.run([&] { named_era_ = era; });
+}
+
 void store_stub::set_fault(store_fault fault) {
     thread_.run([&] { fault_ = fault; });
 }
--- a/tests/support/store_stub.h
+++ b/tests/support/store_stub.h
@@ -8,8 +8,10 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http_server.h"
@@ -34,7 +36,24 @@
 class store_handler;
 
 class store_stub {
+    struct change {
+        std::string key_;
+        std::string value_;
+        std::int64_t revision_ = 0;
+        bool deleted_ = false;
+    };
+
 public:
+    // Content, history and revision of a store at one time.
+    struct copy {
+        std::map<std::string, change> items_;
+        std::deque<change> history_;
+        std::int64_t revision_ = 10;
+        std::int64_t compacted_revision_ = 0;
+    };
+    // Keys and values that are written one after the other.
+    using writes = std::vector<std::pair<std::string, std::string>>;
+
     explicit store_stub(const base::address& address, std::size_t page_items = 500);
     store_stub(const store_stub&) = delete;
     store_stub& operator=(const store_stub&) = delete;
@@ -48,6 +67,18 @@
     // Discards the history so far. Watches from earlier revisions get a 410 response.
     void compact();
 
+    copy make_copy();
+
+    // Goes back to a copy, in the next era, and then makes the given writes. Watches that wait go
+    // on.
+    void restore(const copy& source, const writes& rewritten = {});
+
+    // Restores a copy just before the response to the next page that is not the first one.
+    void restore_at_next_page(const copy& source);
+
+    // Makes later responses name this era instead of the store's own; empty: its own again.
+    void set_named_era(const std::string& era);
+
     // Sets the fault with which later calls are handled.
     void set_fault(store_fault fault);
 
@@ -57,21 +88,17 @@
 private:
     friend class store_handler;
 
-    struct change {
-        std::string key_;
-        std::string value_;
-        std::int64_t revision_ = 0;
-        bool deleted_ = false;
-    };
-
+    void write(const std::string& key, const std::string& value);
+    void go_back_to(const copy& source);
     void notify_watchers();
 
     loop_thread thread_;
     std::size_t page_items_;
-    std::map<std::string, change> items_;
-    std::deque<change> history_;
-    std::int64_t revision_ = 10;
-    std::int64_t compacted_revision_ = 0;
+    copy state_;
+    std::int64_t era_ = 1;
+    // Era that responses name instead of era_; empty without one.
+    std::string named_era_;
+    std::optional<copy> restored_at_next_page_;
     store_fault fault_ = store_fault::none;
     std::set<store_handler*> watchers_;
     mutable std::mutex mutex_;
