Send no request to a target after its deadline

Cause: a request whose kept connection failed before anything was sent goes out again on a new connection. Since a running attempt outlives its deadline by a margin, that could happen after the deadline, with a deadline of zero or less in the request. Found by reading, in review. Change: such an attempt ends as not run. No test of its own.

--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -289,7 +289,7 @@
         end(dropped ? attempt_result::connection_lost : attempt_result::invalid_response);
         return;
     }
-    if (!idle_time) {
+    if (!idle_time || expired()) {
         end(attempt_result::not_run);
         return;
     }
