Keep what is known of targets better than a copy of the store

Cause: a list that the store gives out after it came back from a copy was taken for newer in each of its entries. The copy shows targets as they were before.

Seen, once such lists are in force: a target that is known to be leaving counts as ready, and one that has left is used again, until it writes or the store removes its entry. A list from a peer that read the copy does the same to a process that has not.

Change: control/known_targets compares the stamps of entries (start, sequence) with those of the targets in use and of those removed last. After a restore, entries older than known stay as they are in use, or out of use, until the target writes again, the store removes the entry, or the time has passed after which the store removes entries of silent targets (three heartbeats and a second; setting [times] heartbeat). Such a list is not passed on to peers; the hold that exists for missing entries carries the state. Event: outdated_entries_ignored.

Test: three cases of tests/platform_restore_test.cpp.

--- a/src/config/host_list.cpp
+++ b/src/config/host_list.cpp
@@ -135,9 +135,11 @@
     return make_host_list(version, std::move(hosts));
 }
 
-base::result<hosts_ptr> make_host_list(std::int64_t version, std::vector<host_entry> entries) {
+base::result<hosts_ptr> make_host_list(std::int64_t version, std::vector<host_entry> entries,
+                                       std::int64_t restores) {
     auto hosts = std::make_shared<host_list>();
     hosts->version_ = version;
+    hosts->restores_ = restores;
     hosts->hosts_ = std::move(entries);
     std::sort(hosts->hosts_.begin(), hosts->hosts_.end(),
               [](const host_entry& a, const host_entry& b) { return a.name_ < b.name_; });
--- a/src/config/host_list.h
+++ b/src/config/host_list.h
@@ -25,6 +25,8 @@
     bool warming_ = false;
     // Start of the target in milliseconds since 1970; 0 if the list does not say.
     std::int64_t started_ms_ = 0;
+    // Rises with each entry that the target writes; 0 if the list does not say.
+    std::int64_t sequence_ = 0;
 };
 
 struct host_entry {
@@ -45,6 +47,8 @@
 
 struct host_list {
     std::int64_t version_ = 0;
+    // Number of times that the platform had come back from a copy when it gave out the list.
+    std::int64_t restores_ = 0;
     // Sorted by name.
     std::vector<host_entry> hosts_;
     // Targets of each service, by the name of the service.
@@ -61,7 +65,8 @@
 
 // Builds a host list: sorts the hosts by name and indexes the targets by service. Returns an error
 // if a host is listed twice. Every parser of host lists ends with this call.
-base::result<hosts_ptr> make_host_list(std::int64_t version, std::vector<host_entry> hosts);
+base::result<hosts_ptr> make_host_list(std::int64_t version, std::vector<host_entry> hosts,
+                                       std::int64_t restores = 0);
 
 // Returns the target of that name and service on a host, or null.
 const target_entry* find_target_entry(const host_entry& host, std::string_view target,
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -227,6 +227,7 @@
     reader.time("times", "rules_bound", parsed.rules_bound_);
     reader.time("times", "leaving_bound", parsed.leaving_bound_);
     reader.time("times", "view_bound", parsed.view_bound_);
+    reader.time("times", "heartbeat", parsed.heartbeat_);
     bool use_store = false;
     reader.choice("platform", "form", "store", "values", use_store);
     parsed.protocol_ = use_store ? platform_protocol::store : platform_protocol::values;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -60,6 +60,8 @@
     // target that the platform shows as leaving is to get no more requests.
     base::duration rules_bound_ = base::seconds(1);
     base::duration leaving_bound_ = base::seconds(1);
+    // Interval at which targets renew their entries at the platform.
+    base::duration heartbeat_ = base::seconds(2);
     // Maximum wait of one watch request to the platform.
     base::duration watch_wait_ = base::seconds(2);
     // [retries]
--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -1,41 +1,11 @@
 #include "control/configuration.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "config/rule_parser.h"
 
 namespace dandelionridge::control {
 
-namespace {
-
-bool has_target_in(const config::host_entry& host, const std::set<std::string>& targets) {
-    return std::any_of(
-        host.targets_.begin(), host.targets_.end(),
-        [&](const config::target_entry& target) { return targets.contains(target.name_); });
-}
-
-// Returns the newly listed hosts and, of those in use so far, the unlisted ones with a missing
-// target.
-config::hosts_ptr keep_missing_targets(const config::hosts_ptr& listed,
-                                       const config::host_list& in_use,
-                                       const std::set<std::string>& missing_targets) {
-    std::vector<config::host_entry> hosts = listed->hosts_;
-    for (const config::host_entry& host : in_use.hosts_) {
-        if (has_target_in(host, missing_targets) &&
-            config::find_host(*listed, host.name_) == nullptr) {
-            hosts.push_back(host);
-        }
-    }
-    if (hosts.size() == listed->hosts_.size()) {
-        return listed;
-    }
-    // Cannot fail, since no host was added that is listed.
-    return *config::make_host_list(listed->version_, std::move(hosts));
-}
-
-}  // namespace
-
 config_parsers line_parsers() {
     config_parsers parsers;
     parsers.hosts_ = config::parse_hosts;
@@ -72,8 +42,13 @@
         if (!hosts) {
             return hosts.error().message_;
         }
+        // A peer may have read the copy before this process.
+        const bool is_first = hosts_state_.lines_.version_ == 0;
+        if (!is_first && (*hosts)->restores_ > listed_hosts_->restores_) {
+            keeps_newer_entries_ = true;
+        }
         listed_hosts_ = std::move(*hosts);
-        hosts_ = keep_missing_targets(listed_hosts_, *hosts_, hold_.missing_targets_);
+        use_listed_hosts();
         return std::nullopt;
     }
     auto rules = parsers_.rules_(version, source_lines);
@@ -92,6 +67,7 @@
         return offer_outcome::rejected;
     }
     value.previous_ = std::exchange(value.lines_, std::move(lines));
+    note_shared_version();
     notify(kind);
     return offer_outcome::accepted;
 }
@@ -102,23 +78,47 @@
     }
 }
 
-void configuration::set_hold(const platform_hold& hold) {
-    if (hold.active_ && !hold_.active_) {
-        hosts_version_before_hold_ = version(config_value_kind::hosts);
+// Puts the listed hosts in force, but for the targets that stay as they are in use.
+void configuration::use_listed_hosts() {
+    outdated_targets_.clear();
+    if (keeps_newer_entries_) {
+        outdated_targets_ = find_outdated(*listed_hosts_, *hosts_, removed_targets_);
     }
+    const config::hosts_ptr before = hosts_;
+    hosts_ = keep_in_use(listed_hosts_, *before, outdated_targets_, hold_.missing_targets_);
+    record_removals(removed_targets_, *before, *hosts_);
+}
+
+void configuration::set_hold(const platform_hold& hold) {
+    const bool missing_over = hold_.active_ && !hold.active_;
+    const bool restore_over = hold_.restored_ && !hold.restored_;
     hold_ = hold;
-    if (!hold_.active_ && hosts_ != listed_hosts_) {
-        hosts_ = listed_hosts_;
+    if (hold.restored_ || restore_over) {
+        keeps_newer_entries_ = hold.restored_;
+    }
+    if (!missing_over && !restore_over) {
+        return;
+    }
+    const config::hosts_ptr before = hosts_;
+    use_listed_hosts();
+    note_shared_version();
+    if (hosts_ != before) {
         notify(config_value_kind::hosts);
     }
 }
 
 bool configuration::is_shared(config_value_kind kind) const {
-    return kind == config_value_kind::rules || !hold_.active_;
+    return kind == config_value_kind::rules || (!hold_.active_ && outdated_targets_.empty());
+}
+
+void configuration::note_shared_version() {
+    if (is_shared(config_value_kind::hosts)) {
+        shared_hosts_version_ = version(config_value_kind::hosts);
+    }
 }
 
 std::int64_t configuration::shared_version(config_value_kind kind) const {
-    return is_shared(kind) ? version(kind) : hosts_version_before_hold_;
+    return kind == config_value_kind::rules ? version(kind) : shared_hosts_version_;
 }
 
 offer_outcome configuration::offer_lines(config_value_kind kind, std::int64_t version,
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -14,6 +14,7 @@
 #include "config/host_list.h"
 #include "config/rules.h"
 #include "config/versioned_lines.h"
+#include "control/known_targets.h"
 
 namespace dandelionridge::control {
 
@@ -62,12 +63,17 @@
     std::uint64_t ignored_stale_ = 0;
 };
 
-// A time after an outage of the platform in which its list of targets may lack some that are still
-// there.
+// A time after an outage of the platform, or after it came back from a copy, in which its list of
+// targets may lack some that are still there.
 struct platform_hold {
     bool active_ = false;
     // Names of the targets that the platform's list lost in the outage or since.
     std::set<std::string> missing_targets_;
+    // The platform came back from a copy so recently that it may still list targets as they were
+    // before.
+    bool restored_ = false;
+
+    bool operator==(const platform_hold&) const = default;
 };
 
 // Holds both values. Does no I/O; callers supply versions and times.
@@ -88,11 +94,12 @@
 
     // Sets the hold. While it is active, the missing targets stay in use on this host if they were
     // in use before, and the host list is not passed on to peers: a list that was read just after
-    // an outage may lack targets that are still there.
+    // an outage may lack targets that are still there. After a restore, neither is a list with
+    // entries that are older than those known, which stay in use instead.
     void set_hold(const platform_hold& hold);
 
-    // Returns the version of a value that peers may pull: during a hold, that of the host list from
-    // before it.
+    // Returns the version of a value that peers may pull: of a host list that is not passed on,
+    // that of the one before it.
     std::int64_t shared_version(config_value_kind kind) const;
 
     // Returns true if the value in force may be passed on to peers.
@@ -105,6 +112,10 @@
     // Returns the age of the newest confirmation; duration::max() if there was none.
     base::duration confirmed_age(base::instant now) const;
 
+    // Returns the listed targets that are used, or left out, as they were known before the platform
+    // came back from a copy.
+    const std::set<std::string>& outdated_targets() const { return outdated_targets_; }
+
     // rules() and hosts() return the values in force: never null, and empty before the first
     // version. hosts() also contains the targets that a hold keeps in use.
     const config::rules_ptr& rules() const { return rules_; }
@@ -123,6 +134,8 @@
     offer_outcome apply(config_value_kind kind, config::versioned_lines lines,
                         const std::vector<std::string>& source_lines);
     void notify(config_value_kind kind);
+    void use_listed_hosts();
+    void note_shared_version();
     std::optional<std::string> parse(config_value_kind kind, std::int64_t version,
                                      const std::vector<std::string>& source_lines);
 
@@ -131,11 +144,15 @@
     config_value_state hosts_state_;
     config::rules_ptr rules_;
     config::hosts_ptr hosts_;
-    // The newest host list, without targets that a hold keeps in use.
+    // The newest host list, as it was offered.
     config::hosts_ptr listed_hosts_;
     platform_hold hold_;
-    // Version of the host list when the hold began.
-    std::int64_t hosts_version_before_hold_ = 0;
+    removed_targets removed_targets_;
+    // A list that may come from a copy is in force: entries that are known to be newer are kept.
+    bool keeps_newer_entries_ = false;
+    std::set<std::string> outdated_targets_;
+    // Version of the newest host list that may be passed on to peers.
+    std::int64_t shared_hosts_version_ = 0;
     std::optional<base::instant> confirmed_at_;
     std::vector<std::function<void(config_value_kind)>> listeners_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -208,7 +208,8 @@
 
 void node::on_hold(const control::platform_hold& hold) {
     record("missing_entries_kept", {{"holding", hold.active_ ? "true" : "false"},
-                                    {"count", std::to_string(hold.missing_targets_.size())}});
+                                    {"count", std::to_string(hold.missing_targets_.size())},
+                                    {"restored", hold.restored_ ? "true" : "false"}});
     configuration_.set_hold(hold);
     record_target_changes("hold");
 }
@@ -256,10 +257,22 @@
         record("configuration_from_peer", std::move(fields));
     }
     if (outcome == control::offer_outcome::accepted && kind == control::config_value_kind::hosts) {
+        record_outdated_targets();
         record_target_changes(source);
     }
 }
 
+// Records which targets the host list in force shows in a state that is older than the known one.
+void node::record_outdated_targets() {
+    const std::set<std::string>& outdated = configuration_.outdated_targets();
+    if (outdated.empty()) {
+        return;
+    }
+    const std::vector<std::string> names(outdated.begin(), outdated.end());
+    record("outdated_entries_ignored",
+           {{"count", std::to_string(names.size())}, {"targets", join_names(names)}});
+}
+
 // Records which targets the host list in force adds, marks as leaving or removes.
 void node::record_target_changes(const std::string& source) {
     const config::host_list_changes changes =
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,7 @@
                       const std::vector<std::string>& lines);
     void record_offer(control::config_value_kind kind, std::int64_t version,
                       control::offer_outcome outcome, const std::string& source);
+    void record_outdated_targets();
     void record_target_changes(const std::string& source);
     bool serving() const { return identity_.ready_to_serve_() && !draining_; }
     std::string admin_response(const std::string& path, int& status, std::string& type) const;
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -55,7 +55,7 @@
             callbacks.hold_changed_ = [](const control::platform_hold&) {};
             feed_ = std::make_unique<store_feed>(
                 thread_.loop(), store_address,
-                watch_times{base::milliseconds(300), base::milliseconds(250)},
+                watch_times{base::milliseconds(300), base::milliseconds(250), base::seconds(7)},
                 std::move(callbacks));
         });
     }
--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -46,6 +46,7 @@
         settings_.platform_address_ = store_address;
         settings_.peer_listen_address_ = {"127.0.0.1", 7};
         settings_.watch_wait_ = base::milliseconds(300);
+        settings_.heartbeat_ = base::milliseconds(500);
         thread_.run([this] { open(); });
     }
     store_reader(const store_reader&) = delete;
@@ -83,6 +84,13 @@
         thread_.run([&] { failure = last_failure_; });
         return failure;
     }
+    // Offers a list as a peer sends it.
+    void offer_from_peer(std::int64_t version, const std::vector<std::string>& lines) {
+        thread_.run([&] {
+            const config::versioned_lines offered = config::make_versioned_lines(version, lines);
+            values_->offer_delta(hosts, config::make_delta({}, offered));
+        });
+    }
     std::int64_t restores() {
         std::int64_t restores = 0;
         thread_.run([&] { restores = restores_; });
@@ -276,6 +284,87 @@
     CHECK(version(1, 7) == 7000);
 }
 
+// Guards against requests to a target that is known to be leaving, since the copy shows it as it
+// was before.
+TEST_CASE("a leaving target that the copy shows as ready stays leaving", "[platform][restore]") {
+    store_stub store(store_address);
+    store.put(key_of("i-1"), entry_of("i-1", "ready", 1));
+    store.put(key_of("i-2"), entry_of("i-2", "ready", 1));
+    store_reader reader;
+    REQUIRE(eventually([&] { return reader.targets().size() == 2; }));
+    const store_stub::copy copy = store.make_copy();
+    store.put(key_of("i-1"), entry_of("i-1", "draining", 3));
+    REQUIRE(eventually([&] { return reader.targets()["i-1"] == "draining"; }));
+    const std::int64_t version_before = reader.version(hosts);
+    store.restore(copy);
+    REQUIRE(eventually([&] { return reader.version(hosts) > version_before; }));
+    CHECK(reader.targets() == target_states{{"i-1", "draining"}, {"i-2", "ready"}});
+    SECTION("its next entry is in force") {
+        store.put(key_of("i-1"), entry_of("i-1", "ready", 4));
+        CHECK(eventually([&] { return reader.targets()["i-1"] == "ready"; }));
+    }
+    SECTION("so is the entry of a later start") {
+        store.put(key_of("i-1"), entry_of("i-1", "ready", 1, 1'700'000'000'001));
+        CHECK(eventually([&] { return reader.targets()["i-1"] == "ready"; }));
+    }
+    SECTION("the list is passed on when the store has removed the entry") {
+        CHECK_FALSE(reader.shares_hosts());
+        store.erase(key_of("i-1"));
+        CHECK(eventually([&] { return reader.shares_hosts(); }));
+        CHECK(reader.targets() == target_states{{"i-2", "ready"}});
+    }
+    SECTION("an entry that the store keeps for longer than those of silent targets is in force") {
+        CHECK(eventually([&] { return reader.targets()["i-1"] == "ready"; }));
+        CHECK(reader.shares_hosts());
+    }
+}
+
+// Guards against requests to a target that has left, or to another one at its address, since the
+// copy still lists it.
+TEST_CASE("a removed target that the copy lists stays out of use", "[platform][restore]") {
+    store_stub store(store_address);
+    store.put(key_of("i-1"), entry_of("i-1", "ready", 1));
+    store.put(key_of("i-2"), entry_of("i-2", "ready", 1));
+    store_reader reader;
+    REQUIRE(eventually([&] { return reader.targets().size() == 2; }));
+    const store_stub::copy copy = store.make_copy();
+    store.erase(key_of("i-1"));
+    REQUIRE(eventually([&] { return reader.targets().size() == 1; }));
+    // Another target has the address from now on.
+    store.put(key_of("j-1"), entry_of("j-1", "ready", 1, 1'700'000'000'005));
+    REQUIRE(eventually([&] { return reader.targets().contains("j-1"); }));
+    const std::int64_t version_before = reader.version(hosts);
+    store.restore(copy);
+    REQUIRE(eventually([&] { return reader.version(hosts) > version_before; }));
+    CHECK(reader.targets() == target_states{{"j-1", "ready"}, {"i-2", "ready"}});
+    CHECK_FALSE(reader.shares_hosts());
+    SECTION("until it writes again") {
+        store.put(key_of("i-1"), entry_of("i-1", "ready", 2));
+        CHECK(eventually([&] { return reader.targets().contains("i-1"); }));
+    }
+    SECTION("until its entry has outlived those of silent targets") {
+        CHECK(eventually([&] { return reader.targets().contains("i-1"); }));
+        CHECK(reader.shares_hosts());
+    }
+}
+
+// Guards against a copy that reaches a process, which has not read the store since, by its peers.
+TEST_CASE("a peer's list from a copy does not undo what is known better", "[platform][restore]") {
+    store_stub store(store_address);
+    store.put(key_of("i-1"), entry_of("i-1", "draining", 5));
+    store.put(key_of("i-2"), entry_of("i-2", "ready", 5));
+    store_reader reader;
+    REQUIRE(eventually([&] { return reader.targets().size() == 2; }));
+    store_view copy;
+    copy.era_ = 2;
+    copy.revision_ = 1;
+    reader.offer_from_peer(servers_version(copy), {"i-1 " + entry_of("i-1", "ready", 4),
+                                                   "i-2 " + entry_of("i-2", "draining", 6)});
+    CHECK(reader.version(hosts) == servers_version(copy));
+    CHECK(reader.targets() == target_states{{"i-1", "draining"}, {"i-2", "draining"}});
+    CHECK_FALSE(reader.shares_hosts());
+}
+
 // Guards against an older configuration that comes back with the copy.
 TEST_CASE("a configuration that the copy lacks stays in force", "[platform][restore]") {
     store_stub store(store_address);
