Pull a version that an idle peer has

Cause: a process that has the platform waits a moment for a version that a peer reports, since it is about to read it itself, and pulls it only with a later message of a peer. Without such a message it never does. Class: a deadline that only the next event checks.

Seen: after the store came back from a copy, a host that was started in between had only the older configuration of the copy, and kept it as long as its links were idle: a route that had been acknowledged got 404 there for the 60 s that the test waited.

Change: gossip remembers the peer, and pulls by its own tick once the delay is over, again each second while it lags.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -10,6 +10,8 @@
 // Number of hosts picked at random for version requests, for each list of hosts and round.
 constexpr std::size_t sampled_hosts = 2;
 constexpr base::duration min_pull_interval = base::milliseconds(300);
+// Time between two pulls of a version of which a peer has sent no further message.
+constexpr base::duration overdue_pull_interval = base::seconds(1);
 // Further delay of a pull from another zone, in which a peer of the own zone may offer the version.
 constexpr base::duration other_zone_delay = base::milliseconds(250);
 constexpr base::duration pending_request_expiry = base::seconds(10);
@@ -105,6 +107,8 @@
 
 void gossip::tick(bool platform_available) {
     const base::instant now = clock_.now();
+    pull_overdue(config_value_kind::rules);
+    pull_overdue(config_value_kind::hosts);
     if (now < next_round_ || (platform_available && !options_.strict_)) {
         return;
     }
@@ -201,6 +205,7 @@
     if (!pull.behind_since_) {
         pull.behind_since_ = now;
     }
+    pull.peer_ = peer;
     if (now - *pull.behind_since_ < pull_delay(peer) || now - pull.pulled_at_ < min_pull_interval) {
         return;
     }
@@ -208,6 +213,19 @@
     send_reply(make_pull(kind, current));
 }
 
+// Pulls a version that a peer is known to have. Without this, a process whose platform gives out
+// older versions would depend on a second message, which an idle peer does not send.
+void gossip::pull_overdue(config_value_kind kind) {
+    pull_state& pull = pull_of(kind);
+    const base::instant now = clock_.now();
+    if (!pull.behind_since_ || now - *pull.behind_since_ < pull_delay(pull.peer_) ||
+        now - pull.pulled_at_ < overdue_pull_interval) {
+        return;
+    }
+    pull.pulled_at_ = now;
+    peers_.send(pull.peer_, make_pull(kind, configuration_.version(kind)));
+}
+
 void gossip::on_accepted(config_value_kind kind) {
     pull_of(kind).behind_since_.reset();
 }
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -63,8 +63,9 @@
     // Records whether the last request to the platform failed.
     void set_platform_failing(bool failing) { platform_failing_ = failing; }
 
-    // Sends the version requests that are due. `platform_available` is false while the platform
-    // does not reply.
+    // Sends the version requests that are due, and pulls newer versions that neither the platform
+    // nor a further message of the peer has brought. `platform_available` is false while the
+    // platform does not reply.
     void tick(bool platform_available);
 
     // Returns the versions that peers may pull from this process.
@@ -93,10 +94,13 @@
         base::instant pulled_at_{};
         // Since when a newer version than the one in force is known; empty if none is.
         std::optional<base::instant> behind_since_;
+        // The peer that had it last.
+        std::string peer_;
     };
 
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
+    void pull_overdue(config_value_kind kind);
     pull_state& pull_of(config_value_kind kind) {
         return kind == config_value_kind::rules ? rules_pull_ : hosts_pull_;
     }
--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -55,7 +55,7 @@
       directory_(make_test_directory()) {
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         stores_.push_back(std::make_unique<store_stub>(store_address(host)));
-        store_of(host).put("op/config", configuration());
+        store_of(host).put("op/config", configuration("00000001"));
         targets_.push_back(
             std::make_unique<target_stub>("i-" + std::to_string(host), target_address(host)));
         set_target(host, {});
@@ -70,7 +70,7 @@
     remove_test_directory(directory_);
 }
 
-std::string store_fleet::configuration() const {
+std::string store_fleet::configuration(const std::string& version, const std::string& added) const {
     json resources = json::array();
     for (const std::string& service : std::set<std::string>(services_.begin(), services_.end())) {
         resources.push_back({{"type", "services"},
@@ -79,11 +79,14 @@
         resources.push_back(route_resource(service, "/reads/", "idempotent"));
         resources.push_back(route_resource(service, "/orders/", "non_idempotent"));
         resources.push_back(route_resource(service, "/calls/", "idempotent", true));
+        if (!added.empty()) {
+            resources.push_back(route_resource(service, added, "idempotent", true));
+        }
     }
     resources.push_back({{"type", "tenants"},
                          {"metadata", {{"name", "bends"}}},
                          {"spec", {{"apiKeys", {caller_key}}}}});
-    return json{{"version", "00000001"}, {"resources", resources}}.dump();
+    return json{{"version", version}, {"resources", resources}}.dump();
 }
 
 std::string store_fleet::entry_key(std::size_t host) {
@@ -119,6 +122,27 @@
     }
 }
 
+void store_fleet::put(const std::string& key, const std::string& value) {
+    for (const auto& store : stores_) {
+        store->put(key, value);
+    }
+}
+
+std::vector<store_stub::copy> store_fleet::copy_stores() {
+    std::vector<store_stub::copy> copies;
+    for (const auto& store : stores_) {
+        copies.push_back(store->make_copy());
+    }
+    return copies;
+}
+
+void store_fleet::restore_stores(const std::vector<store_stub::copy>& copies,
+                                 const store_stub::writes& rewritten) {
+    for (std::size_t i = 0; i < stores_.size(); ++i) {
+        stores_[i]->restore(copies.at(i), rewritten);
+    }
+}
+
 void store_fleet::set_target(std::size_t host, target_behaviour behaviour) {
     behaviour.echoes_request_id_ = true;
     if (behaviour.mode_ != target_mode::endless_body) {
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -52,6 +52,19 @@
     void write_entry(std::size_t host, const std::string& state);
     void remove_entry(std::size_t host);
 
+    // Returns a configuration of that version with a further route ADDED of each service, or
+    // without one if it is empty: the path's prefix, with slashes. Requests to it are idempotent.
+    std::string configuration(const std::string& version, const std::string& added = "") const;
+
+    // Writes an item in the stores that all hosts read.
+    void put(const std::string& key, const std::string& value);
+
+    // Returns a copy of each host's store, and makes all stores go back to such copies and then
+    // write the given items.
+    std::vector<store_stub::copy> copy_stores();
+    void restore_stores(const std::vector<store_stub::copy>& copies,
+                        const store_stub::writes& rewritten = {});
+
     // Sets how a host's target responds. Its responses repeat the request's ID and carry the header
     // that proves that the target made them, the latter not in mode endless_body.
     void set_target(std::size_t host, target_behaviour behaviour);
@@ -76,7 +89,6 @@
     std::int64_t status_number(std::size_t host, const std::string& pointer) const;
 
 private:
-    std::string configuration() const;
     std::string admin(std::size_t host, const std::string& path) const;
     std::string write_settings(std::size_t host) const;
     void launch(std::size_t host);
