Refuse a request that gets no slot in time for its caller to learn it

What callers saw: a request that waited for a slot until its deadline, and reached no target, got 504 and an unknown outcome.

Cause: the caller proxy and the target proxy have the same deadline, so the target proxy's refusal came when the caller had already been answered. The caller proxy also began attempts with so little time left that no refusal could arrive.

Change: a waiting attempt is given up at its latest start: its expected run, but at least 100 ms or a quarter of its time, before the deadline, by a timer of its own. No attempt is begun with less time left than that; the caller gets 503 with Retry-After at once. The wire is unchanged, and old and new programs work beside each other.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -6,6 +6,7 @@
 
 #include "filter/chain.h"
 #include "policy/quota.h"
+#include "policy/refusal_margin.h"
 #include "policy/retry_after.h"
 
 namespace dandelionridge::node {
@@ -144,6 +145,12 @@
     return std::min(deadline_, owner_.run_deadline()) - owner_.dependencies_.loop_.clock().now();
 }
 
+// Returns the time that must be left for another attempt: with less, its refusal could not arrive
+// before the deadline, and the caller would not learn that the request did not run.
+base::duration call::min_time_left() const {
+    return policy::refusal_margin(deadline_ - started_at_);
+}
+
 void call::end_now() {
     if (!finished_ && !head_sent_) {
         on_deadline();
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -118,6 +118,7 @@
     void record_event(const char* kind, const std::string& detail, base::duration number) const;
     base::duration time_left() const;
     base::duration run_time_left() const;
+    base::duration min_time_left() const;
 
     caller_proxy& owner_;
     net::http_exchange& exchange_;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -78,8 +78,8 @@
 }
 
 void call::start_attempt() {
-    const bool time_left_to_run = run_time_left() > base::duration::zero();
-    const auto chosen = time_left_to_run ? choose() : std::nullopt;
+    const bool in_time = run_time_left() > min_time_left();
+    const auto chosen = in_time ? choose() : std::nullopt;
     if (!chosen) {
         if (head_sent_) {
             abort_response();
@@ -88,7 +88,7 @@
         } else if (may_have_run_) {
             refuse_unknown(filter::reason::target_failed);
         } else {
-            refuse_not_run(filter::reason::no_target);
+            refuse_not_run(in_time ? filter::reason::no_target : filter::reason::deadline);
         }
         return;
     }
@@ -388,6 +388,7 @@
     retry.may_have_run_before_ = may_have_run_;
     retry.nested_ = nested_;
     retry.time_left_ = run_time_left();
+    retry.min_time_left_ = min_time_left();
     return retry;
 }
 
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -39,7 +39,10 @@
       deadline_(loop.clock().now() + base::milliseconds(begin_.deadline_ms)),
       timeout_timer_(loop) {
     request_body_ended_ = !has_request_body();
-    start_timeout(base::milliseconds(begin_.deadline_ms));
+}
+
+void target_proxy_attempt::wait_until(base::instant latest_start) {
+    start_timeout(latest_start - loop_.clock().now());
 }
 
 bool target_proxy_attempt::has_request_body() const {
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -64,7 +64,7 @@
     // it.
     virtual void on_run_ended(target_proxy_attempt& attempt, attempt_result result) = 0;
 
-    // Called when the deadline passed while the attempt waited for a slot.
+    // Called when the attempt has waited for a slot until its latest start.
     virtual void on_wait_expired(target_proxy_attempt& attempt) = 0;
 
     // Called when a connection to the attempt's target was found closed after it had been idle.
@@ -98,6 +98,9 @@
     target_proxy_attempt& operator=(const target_proxy_attempt&) = delete;
     ~target_proxy_attempt() override = default;
 
+    // Reports at that time that the wait has expired, unless the run has begun.
+    void wait_until(base::instant latest_start);
+
     // Sends the request to the target, on a connection of the pool that was idle for at most
     // `max_idle_time`, or on a new one.
     void run(net::http_client_pool& pool, base::duration max_idle_time);
@@ -179,8 +182,8 @@
     wire::attempt_begin begin_;
     base::instant deadline_;
     base::instant run_started_at_{};
-    // Expires at the deadline, or shortly after it if the attempt runs then. Once the response is
-    // streamed, expires when it makes no progress.
+    // Expires at the latest start while the attempt waits, and shortly after the deadline while it
+    // runs. Once the response is streamed, expires when it makes no progress.
     net::timer timeout_timer_;
     net::http_client_pool* pool_ = nullptr;
     std::unique_ptr<net::http_client_request> request_;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -195,6 +195,7 @@
         std::make_unique<target_proxy_attempt>(loop_, *this, headers_, key, std::move(begin));
     attempt->set_queue_id(waiting.id_);
     attempt->set_target_key(target_key);
+    attempt->wait_until(policy::latest_start(waiting));
     waiting_.emplace(waiting.id_, key);
     attempts_.emplace(key, std::move(attempt));
     policy::push(targets_[target_key].queue_, std::move(waiting));
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -31,7 +31,7 @@
 bool retry_is_feasible(const retry_context& context) {
     const bool attempts_left = context.budget_exempt_ || context.attempts_ < context.max_attempts_;
     return context.replayable_ && context.other_target_ && attempts_left &&
-           context.time_left_ > context.run_duration_;
+           context.time_left_ > std::max(context.run_duration_, context.min_time_left_);
 }
 
 // Returns the interval that contains `now`, which is added if there is none, and evicts those that
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -67,8 +67,9 @@
     bool budget_exempt_ = false;
     // The request was made by a running request: if it fails, that run is lost as well.
     bool nested_ = false;
-    // Time until the request's deadline.
+    // Time until the request's deadline, and the minimum that another attempt needs.
     base::duration time_left_{};
+    base::duration min_time_left_{};
     // Expected duration of another run; zero if unknown.
     base::duration run_duration_{};
 };
--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "policy/refusal_margin.h"
+
 namespace dandelionridge::policy {
 
 namespace {
@@ -33,7 +35,7 @@
 
 // Returns the time for which a request can wait and still end before its deadline.
 base::duration slack_of(const waiting_request& request, base::instant now) {
-    return request.deadline_at_ - now - request.run_duration_;
+    return latest_start(request) - now;
 }
 
 // Requests of a lower rank are served first, those of the same rank in turn.
@@ -82,6 +84,11 @@
 
 }  // namespace
 
+base::instant latest_start(const waiting_request& request) {
+    const base::duration margin = refusal_margin(request.deadline_at_ - request.arrived_at_);
+    return request.deadline_at_ - std::max(request.run_duration_, margin);
+}
+
 void push(slot_queue& queue, waiting_request request) {
     queue.waiting_.push_back(std::move(request));
 }
@@ -136,7 +143,7 @@
     std::vector<std::uint64_t> removed;
     std::size_t ahead = 0;
     std::erase_if(queue.waiting_, [&](const waiting_request& request) {
-        const bool late = request.deadline_at_ - now < wait_of(ahead) + request.run_duration_;
+        const bool late = slack_of(request, now) < wait_of(ahead);
         if (late) {
             removed.push_back(request.id_);
         } else {
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -47,6 +47,10 @@
     bool late_starve_ = false;
 };
 
+// Returns the time until which a request can wait for its slot: a run that begins later does not
+// end before the deadline, and a refusal that is sent later does not reach the caller before it.
+base::instant latest_start(const waiting_request& request);
+
 void push(slot_queue& queue, waiting_request request);
 
 // Removes and returns the next request to serve, or returns nothing if none waits.
@@ -55,8 +59,8 @@
 // Removes a request. Returns false if it was not in the queue.
 bool remove(slot_queue& queue, std::uint64_t id);
 
-// Removes the requests that can no longer end before their deadline, and the late ones that have
-// waited for longer than they still can: no slot was left for them. Returns their ids.
+// Removes the requests whose latest start has passed, and the late ones that have waited for longer
+// than they still can: no slot was left for them. Returns their ids.
 std::vector<std::uint64_t> remove_infeasible(slot_queue& queue, base::instant now);
 
 // Removes the requests that cannot end before their deadline if the n-th request to be served,
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -404,6 +404,24 @@
     CHECK(latest_majority_agreement(view, now) == base::instant{});
 }
 
+// Guards against: an attempt was begun so late that its refusal came after the deadline, so that
+// the caller could not be told that the request did not run.
+TEST_CASE("no attempt begins too late for its refusal to arrive", "[policy][retry]") {
+    retry_budget budget;
+    retry_context context;
+    context.outcome_ = not_run;
+    context.replayable_ = true;
+    context.other_target_ = true;
+    context.budget_exempt_ = true;
+    context.min_time_left_ = base::milliseconds(100);
+    context.time_left_ = base::milliseconds(101);
+    CHECK(decide_retry(budget, {}, context, start) == retry_decision::retry);
+    context.time_left_ = base::milliseconds(100);
+    CHECK(decide_retry(budget, {}, context, start) == retry_decision::refuse_not_run);
+    context.may_have_run_before_ = true;
+    CHECK(decide_retry(budget, {}, context, start) == retry_decision::refuse_unknown);
+}
+
 TEST_CASE("a request is overdue only beyond what chance explains", "[policy][retry]") {
     CHECK(policy::overdue_after(base::milliseconds(700)) == base::milliseconds(2800));
     CHECK(policy::overdue_after(base::milliseconds(5)) == base::milliseconds(200));
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "policy/refusal_margin.h"
 #include "policy/slot_queue.h"
 
 using namespace dandelionridge;
@@ -123,6 +124,28 @@
     CHECK(service_order(queue, now) == std::vector<std::uint64_t>{2});
 }
 
+// Guards against: a request that waited until its deadline was refused when its caller had already
+// been told that its outcome is unknown.
+TEST_CASE("a queued request is given up early enough for its refusal to reach the caller",
+          "[policy]") {
+    waiting_request request = make_waiting(1, "a");
+    request.arrived_at_ = start;
+    request.deadline_at_ = start + base::seconds(2);
+    CHECK(latest_start(request) == request.deadline_at_ - max_refusal_margin);
+    slot_queue queue;
+    push(queue, request);
+    CHECK(remove_infeasible(queue, latest_start(request)).empty());
+    CHECK(remove_infeasible(queue, latest_start(request) + base::milliseconds(1)).size() == 1);
+    SECTION("a run that takes longer than the refusal begins earlier") {
+        request.run_duration_ = base::milliseconds(700);
+        CHECK(latest_start(request) == request.deadline_at_ - base::milliseconds(700));
+    }
+    SECTION("a request with little time waits for most of it") {
+        request.deadline_at_ = start + base::milliseconds(80);
+        CHECK(latest_start(request) == start + base::milliseconds(60));
+    }
+}
+
 TEST_CASE("a late request is given up once it has waited for longer than it still can",
           "[policy]") {
     slot_queue queue;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -93,10 +93,11 @@
 }
 
 // Forwards the bytes that can be read without blocking. Returns false if either side has closed.
-bool relay::forward_available(int from, int to) {
+bool relay::forward_available(int from, int to) const {
     if (!readable(from)) {
         return true;
     }
+    std::this_thread::sleep_for(delay_.load());
     std::array<char, 16384> bytes{};
     const ssize_t count = read(from, bytes.data(), bytes.size());
     return count > 0 &&
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -33,6 +34,9 @@
     // While `refuse` is set, new connections are closed without being connected to the host.
     void refuse_new_links(bool refuse) { refuse_links_ = refuse; }
 
+    // Makes bytes that arrive from now on wait for that time before they are forwarded.
+    void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+
     // Number of links opened so far.
     int opened() const { return opened_; }
 
@@ -47,13 +51,14 @@
 
     void run();
     void accept_one();
-    static bool forward_available(int from, int to);
+    bool forward_available(int from, int to) const;
 
     base::address upstream_address_;
     int listener_ = -1;
     std::atomic<bool> stopped_ = false;
     std::atomic<bool> refuse_links_ = false;
     std::atomic<int> opened_ = 0;
+    std::atomic<std::chrono::milliseconds> delay_ = std::chrono::milliseconds(0);
     std::mutex mutex_;
     std::list<relayed_link> links_;
     std::thread thread_;
