Await the response of a run whose link was lost until the deadline

What callers saw: 504 and an unknown outcome 2 s after a link was lost, although the run went on, ended well, and its response arrived on the next link within the time left.

Cause: the wait for a target proxy whose link was lost was limited to 2 s, for its report on the attempt and for the response that follows.

Evidence: process_run_test's new case, a POST whose run takes 5 s of 20 s and whose link stalls: 504 before.

Change: a request that must not run twice is awaited until its deadline; nobody can send it again meanwhile. An idempotent one is answered after 2 s as before, because its caller may repeat it.

--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Maximum wait for a target proxy whose link was lost to report the status of an attempt.
-constexpr base::duration max_resolution_wait = base::seconds(2);
-
 // Number of targets found busy after which the request may queue for a slot.
 constexpr std::size_t max_busy_targets = 3;
 // The caller is refused after more refusals by target proxies than this.
@@ -357,9 +354,8 @@
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_targets_.erase(attempt_->target_);
-        // The attempt's status is requested from the target proxy; the wait for it is limited,
-        // because the target proxy may not reply.
-        deadline_timer_.start(std::min(time_left(), max_resolution_wait),
+        // The attempt's status is requested from the target proxy, which may not reply.
+        deadline_timer_.start(policy::resolution_wait(context_.idempotent_, time_left()),
                               [this] { on_deadline(); });
         return;
     }
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -13,6 +13,9 @@
 // Shorter delays are due to chance.
 constexpr base::duration min_overdue_delay = base::milliseconds(200);
 
+// Maximum wait for a target proxy whose link was lost, if the request is idempotent.
+constexpr base::duration max_idempotent_resolution_wait = base::seconds(2);
+
 // Part of its share of the slack that a process may use from its start.
 constexpr double initial_slack_share = 0.3;
 
@@ -70,6 +73,11 @@
     return std::max(overdue_factor * run_duration, min_overdue_delay);
 }
 
+base::duration resolution_wait(bool idempotent, base::duration time_left) {
+    return idempotent ? std::min<base::duration>(time_left, max_idempotent_resolution_wait)
+                      : time_left;
+}
+
 double usable_budget_share(bool nested) {
     return nested ? 1 : 1 - nested_reserve_share;
 }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -82,6 +82,11 @@
 // expected duration of its run at the present one.
 base::duration overdue_after(base::duration run_duration);
 
+// Returns how long to wait for a target proxy whose link was lost to report the status of an
+// attempt and to send its response. The caller of an idempotent request is better told early, since
+// it may send the request again.
+base::duration resolution_wait(bool idempotent, base::duration time_left);
+
 // Returns the share of the budget that a request may use: some of it is reserved for nested ones.
 double usable_budget_share(bool nested);
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -404,6 +404,14 @@
     CHECK(latest_majority_agreement(view, now) == base::instant{});
 }
 
+// Guards against: a run that ended within the time left was answered with 504, because its link had
+// been lost two seconds before.
+TEST_CASE("a request that must not run twice is awaited until its deadline", "[policy][retry]") {
+    CHECK(resolution_wait(false, base::seconds(9)) == base::seconds(9));
+    CHECK(resolution_wait(true, base::seconds(9)) == base::seconds(2));
+    CHECK(resolution_wait(true, base::seconds(1)) == base::seconds(1));
+}
+
 // Guards against: an attempt was begun so late that its refusal came after the deadline, so that
 // the caller could not be told that the request did not run.
 TEST_CASE("no attempt begins too late for its refusal to arrive", "[policy][retry]") {
--- a/tests/process_run_test.cpp
+++ b/tests/process_run_test.cpp
@@ -159,6 +159,24 @@
     CHECK(caller.send(order_request(fleet, "h1", "b", "POST")).status_ == 200);
 }
 
+// Guards against: a run that ended well was answered with 504, because its link had been lost two
+// seconds before.
+TEST_CASE("the response of a run whose link was lost is awaited until the deadline",
+          "[promise-at-most-once]") {
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, long_timeout_options);
+    plan.relayed_hosts_ = {"h2"};
+    fleet fleet(plan);
+    fleet.start_all();
+    warm_up(fleet);
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(5)});
+    auto order = send_in_background(order_request(fleet, "h1", "a", "POST"));
+    REQUIRE(wait_for([&] { return has_run(fleet, "a"); }));
+    fleet.relay_of("h2").hold_open_links(relay_direction::to_caller_proxy);
+    CHECK(order.get().status_ == 200);
+    CHECK(fleet.runs_of("a") == 1);
+    fleet.relay_of("h2").release();
+}
+
 TEST_CASE("a request has outcome unknown if its link stalls and no new one can be opened",
           "[promise-at-most-once]") {
     fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, short_timeout_options);
