Test that a read that may have run is not refused as not run

Change: a process test. A read runs at a target that hangs, its key is withdrawn everywhere, and the target's host is killed; the next target proxy refuses the read for its key. The caller must get 504 and "unknown". The refusal after more than ten others ends in the same line and has no test of its own.

With `!may_have_run_` taken out of end_without_retry() the caller gets 401 and "not_run", and 2 checks fail.

--- a/tests/process_key_test.cpp
+++ b/tests/process_key_test.cpp
@@ -48,6 +48,28 @@
     CHECK(fleet.runs_of("second") == 0);
 }
 
+// Guards against: a read that one target may have run got 401 and "not run", because the next
+// target proxy refused it for its key.
+TEST_CASE("a read that may have run is not answered as not run after its key was withdrawn",
+          "[promise-key]") {
+    fleet fleet(orders_plan({"z1", "z1", "z1"}, {"h2", "h3"}, "slots=5 timeout=20s"));
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::hang});
+    fleet.target("t2").set({.mode_ = target_mode::hang});
+    auto read = send_in_background(order_request(fleet, "h1", "a", "GET"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
+    fleet.publish_rules(without_key(fleet.rules()));
+    for (const char* host : {"h1", "h2", "h3"}) {
+        REQUIRE(wait_for(
+            [&] { return fleet.status_number(host, "/configuration/rules/version") == 2; }));
+    }
+    fleet.kill(fleet.target("t1").total_runs() == 1 ? "h2" : "h3");
+    const caller_response response = read.get();
+    CHECK(response.status_ == 504);
+    CHECK(response.outcome() == "unknown");
+    CHECK(fleet.runs_of("a") == 1);
+}
+
 TEST_CASE("no target receives a key in any form", "[promise-key]") {
     fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=5s headers=x-note");
     fleet fleet(plan);
