Await runs in doubt until a stopping host answers, and begin none that it would cut

Between 84% and 88% of the grace time a request whose link was lost was given up at once although its target might be at work, since the time left for another run stood where the time left for the response belongs. A read could be resent, and a request that had waited for quota or its body could be begun, although its run would be cut.

Change: retry_context tells the time that is left from the last part of it that no run may use. First attempts and resends count with the time for runs; what is not begun because of the stop is refused as "stopping", not run.

Result: the new case of policy_test fails with the time left for runs in place of the time left (the decision is then to give up) and passes now; unit tests 109 cases, process_drain_test 6, process_stop_test 10, process_run_test 12, process_overdue_test 2 and process_not_run_test 1 pass on arm64. The resend and the first attempt after a wait have no test of their own.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -151,6 +151,11 @@
     return policy::refusal_margin(deadline_ - started_at_);
 }
 
+// Returns what ends the time of this request: its deadline, or a planned stop before it.
+filter::reason call::end_reason() const {
+    return owner_.stop_deadline() < deadline_ ? filter::reason::stopping : filter::reason::deadline;
+}
+
 void call::end_now() {
     if (!finished_ && !head_sent_) {
         on_deadline();
@@ -158,9 +163,8 @@
 }
 
 void call::on_deadline() {
-    const bool stopped =
-        time_left() <= base::duration::zero() && owner_.stop_deadline() < deadline_;
-    const filter::reason reason = stopped ? filter::reason::stopping : filter::reason::deadline;
+    const bool time_over = time_left() <= base::duration::zero();
+    const filter::reason reason = time_over ? end_reason() : filter::reason::deadline;
     const bool written = attempt_ != nullptr && attempt_->written_;
     abandon_attempt();
     owner_.dependencies_.quota_.cancel(*this);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -89,6 +89,7 @@
     void on_overdue();
     std::set<std::string> targets_used() const;
     std::optional<chosen_target> choose();
+    std::optional<chosen_target> choose_in_time();
     wire::attempt_begin make_attempt_begin(const chosen_target& chosen) const;
     void add_headers(wire::attempt_begin& begin) const;
     void abandon_attempt();
@@ -119,6 +120,7 @@
     base::duration time_left() const;
     base::duration run_time_left() const;
     base::duration min_time_left() const;
+    filter::reason end_reason() const;
 
     caller_proxy& owner_;
     net::http_exchange& exchange_;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -74,9 +74,19 @@
     return chosen;
 }
 
+// Returns the target of the next attempt; nothing if there is none, or if too little time is left
+// for it. During a planned stop a run that would be cut is not begun either.
+std::optional<chosen_target> call::choose_in_time() {
+    if (run_time_left() <= min_time_left()) {
+        return std::nullopt;
+    }
+    const auto chosen = choose();
+    const bool cut = chosen && owner_.draining() && chosen->run_duration_ >= run_time_left();
+    return cut ? std::nullopt : chosen;
+}
+
 void call::start_attempt() {
-    const bool in_time = run_time_left() > min_time_left();
-    const auto chosen = in_time ? choose() : std::nullopt;
+    const auto chosen = choose_in_time();
     if (!chosen) {
         if (head_sent_) {
             abort_response();
@@ -85,7 +95,8 @@
         } else if (may_have_run_) {
             refuse_unknown(filter::reason::target_failed);
         } else {
-            refuse_not_run(in_time ? filter::reason::no_target : filter::reason::deadline);
+            const bool late = run_time_left() <= min_time_left();
+            refuse_not_run(late ? end_reason() : filter::reason::no_target);
         }
         return;
     }
@@ -294,7 +305,7 @@
         return false;
     }
     const auto same = owner_.find_eligible(context_.service_->name_, attempt_->target_, run_kind());
-    if (!same || time_left() <= same->run_duration_ ||
+    if (!same || run_time_left() <= std::max(same->run_duration_, min_time_left()) ||
         !owner_.claim_retry(context_.service_->name_, nested_)) {
         return false;
     }
@@ -383,7 +394,8 @@
     retry.max_attempts_ = context_.route_->attempts_;
     retry.may_have_run_before_ = may_have_run_;
     retry.nested_ = nested_;
-    retry.time_left_ = run_time_left();
+    retry.time_left_ = time_left();
+    retry.reserved_time_ = time_left() - run_time_left();
     retry.min_time_left_ = min_time_left();
     return retry;
 }
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -33,8 +33,9 @@
 // Returns true if another attempt can be sent, is allowed by the route and can end in time.
 bool retry_is_feasible(const retry_context& context) {
     const bool attempts_left = context.budget_exempt_ || context.attempts_ < context.max_attempts_;
+    const base::duration run_time_left = context.time_left_ - context.reserved_time_;
     return context.replayable_ && context.other_target_ && attempts_left &&
-           context.time_left_ > std::max(context.run_duration_, context.min_time_left_);
+           run_time_left > std::max(context.run_duration_, context.min_time_left_);
 }
 
 // Returns the interval that contains `now`, which is added if there is none, and evicts those that
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -70,6 +70,9 @@
     // Time until the request's deadline, and the minimum that another attempt needs.
     base::duration time_left_{};
     base::duration min_time_left_{};
+    // The last part of that time, in which no further run may be in progress because this process
+    // stops.
+    base::duration reserved_time_{};
     // Expected duration of another run; zero if unknown.
     base::duration run_duration_{};
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -412,6 +412,23 @@
     CHECK(resolution_wait(true, base::seconds(1)) == base::seconds(1));
 }
 
+// Guards against: a stopping host gave up a request whose link was lost, although its target was at
+// work, as soon as no time was left for another run.
+TEST_CASE("a request in doubt is awaited when no time is left for another run", "[policy][retry]") {
+    retry_budget budget;
+    retry_context context;
+    context.outcome_ = in_doubt;
+    context.idempotent_ = true;
+    context.replayable_ = true;
+    context.other_target_ = true;
+    context.time_left_ = base::milliseconds(300);
+    context.reserved_time_ = base::milliseconds(250);
+    context.run_duration_ = base::milliseconds(100);
+    CHECK(decide_retry(budget, {}, context, start) == retry_decision::wait);
+    context.reserved_time_ = {};
+    CHECK(decide_retry(budget, {}, context, start) == retry_decision::retry);
+}
+
 // Guards against: an attempt was begun so late that its refusal came after the deadline, so that
 // the caller could not be told that the request did not run.
 TEST_CASE("no attempt begins too late for its refusal to arrive", "[policy][retry]") {
