Use a target while the process beside it stops, if the others are full

Cause: from SIGTERM on a target proxy refused every attempt, and all caller proxies excluded its host, until the next process had started: 2.9 to 6.1 s. The target does not stop with that process, and only this process reaches it. Class: the end of a proxy is treated as the end of what it stands for.

Change: policy/host_stop decides. A stopping target proxy takes an attempt that finds a free slot and whose run, by twice its expected duration (one and a half times if it may be repeated), ends by the stop's deadline for runs. It announces its stop at the signal and once more when it takes nothing further. Between the two, caller proxies choose its target only if the best other one has no free slot or one was found busy. Attempts that waited and lose their turn are refused as busy while others are still taken. The event "drained" counts what was taken, found busy and refused.

Result: process_restart_test fails on the program of (1 run at the target after the signal, more than 4 asked for) and passes; host_stop_test's series of restarts fails with the old rule (targets idle for up to 5.0 s, 11 of 27 assertions) and passes. unit_tests, process_restart, process_drain, process_stop and process_leaving pass; the other process tests were not run.

--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -48,8 +48,9 @@
 }
 
 policy::choice_criteria call::criteria() const {
-    return {context_.idempotent_, retry_available(), context_.route_->download_, run_kind(),
-            owner_.dependencies_.settings_.min_share_};
+    const bool found_busy = !may_wait_ && !busy_targets_.empty();
+    return {context_.idempotent_, retry_available(), context_.route_->download_,
+            run_kind(),           found_busy,        owner_.dependencies_.settings_.min_share_};
 }
 
 // Returns true if the next attempt is the first, the request is idempotent, and the retry budget
@@ -248,7 +249,7 @@
     }
     const bool only_target_leaves = refusal.__isset.report && refusal.report.leaving;
     if (refusal.reason == wire::refusal_reason::draining && !only_target_leaves) {
-        owner_.set_draining(attempt_->link_->peer(), true);
+        owner_.record_stop_refusal(attempt_->link_->peer(), context_.idempotent_);
     }
     if (refusal.reason == wire::refusal_reason::target_unreachable) {
         attempt_ended(policy::attempt_outcome::not_run, to_reason(refusal.reason));
@@ -266,7 +267,9 @@
         refusal.reason == wire::refusal_reason::overload) {
         min_wait_ = std::min<base::duration>(min_wait_, base::milliseconds(refusal.retry_after_ms));
     }
-    if (refusal.reason == wire::refusal_reason::target_busy) {
+    // At a host that stops no request waits for a slot, so it is not tried again.
+    const bool stopping = owner_.stop_state_of(attempt_->link_->peer()) != policy::stop_state::none;
+    if (refusal.reason == wire::refusal_reason::target_busy && !stopping) {
         busy_targets_.insert(target);
     } else {
         tried_targets_.insert(target);
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-// Time for which a host's report that it is draining is valid. A host that drains for longer
-// reports it again when it refuses an attempt.
-constexpr base::duration draining_report_validity = base::seconds(10);
+// Time for which a host's announcement that it stops is valid. A host that stops for longer says so
+// again when it refuses an attempt.
+constexpr base::duration stop_notice_validity = base::seconds(10);
 
 // Maximum age of the report of an idle target at which a probe request is sent to it. A target with
 // an older report is assumed to have received one since.
@@ -94,7 +94,6 @@
 void caller_proxy::drain(const policy::planned_stop& stop) {
     drain_ = stop;
     server_->close_after_responses();
-    draining_until_[dependencies_.settings_.host_] = base::instant::max();
 }
 
 bool caller_proxy::accepts(const std::string& service, policy::run_kind kind, bool nested) const {
@@ -142,17 +141,33 @@
     server_->stop_listening();
 }
 
+// Returns the time until which what a host says of its stop is valid. This process does not run
+// again after its own stop.
+base::instant caller_proxy::stop_valid_until(const std::string& host) const {
+    return host == dependencies_.settings_.host_
+               ? base::instant::max()
+               : dependencies_.loop_.clock().now() + stop_notice_validity;
+}
+
 void caller_proxy::set_draining(const std::string& host, bool draining) {
     if (draining) {
-        draining_until_[host] = dependencies_.loop_.clock().now() + draining_report_validity;
+        policy::record_stop_notice(host_stops_[host], dependencies_.loop_.clock().now(),
+                                   stop_valid_until(host));
     } else if (host != dependencies_.settings_.host_) {
-        draining_until_.erase(host);
+        host_stops_.erase(host);
     }
 }
 
-bool caller_proxy::is_draining(const std::string& host) const {
-    const auto found = draining_until_.find(host);
-    return found != draining_until_.end() && dependencies_.loop_.clock().now() < found->second;
+void caller_proxy::record_stop_refusal(const std::string& host, bool idempotent) {
+    policy::record_stop_refusal(host_stops_[host], idempotent, dependencies_.loop_.clock().now(),
+                                stop_valid_until(host));
+}
+
+policy::stop_state caller_proxy::stop_state_of(const std::string& host) const {
+    const auto found = host_stops_.find(host);
+    return found == host_stops_.end()
+               ? policy::stop_state::none
+               : policy::state_of(found->second, dependencies_.loop_.clock().now());
 }
 
 void caller_proxy::record_report(const wire::target_report& report) {
@@ -225,7 +240,10 @@
     candidate.warming_ = target.warming_;
     candidate.disconnected_ = link != nullptr && link->reconnecting();
     candidate.unreachable_ = link != nullptr && link->failing();
-    candidate.excluded_ = host.leaving_ || is_draining(host.name_) ||
+    const policy::stop_state stop = stop_state_of(host.name_);
+    candidate.stopping_ = stop != policy::stop_state::none;
+    candidate.excluded_ = host.leaving_ ||
+                          policy::is_closed_to(stop, kind != policy::run_kind::non_idempotent) ||
                           policy::is_departing(departures_, target.name_, target.started_ms_) ||
                           !config::is_target_enabled(rules, target.name_);
     if (view != nullptr) {
@@ -275,7 +293,8 @@
             continue;
         }
         const policy::candidate candidate = make_candidate(host, entry, listed->rule_, kind);
-        const bool usable = !candidate.excluded_ && !candidate.unreachable_ && !candidate.ejected_;
+        const bool usable = !candidate.excluded_ && !candidate.stopping_ &&
+                            !candidate.unreachable_ && !candidate.ejected_;
         return usable ? std::optional(chosen_target{&host, &entry, false, candidate.run_duration_})
                       : std::nullopt;
     }
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -25,6 +25,7 @@
 #include "policy/balance.h"
 #include "policy/departures.h"
 #include "policy/drain.h"
+#include "policy/host_stop.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -80,9 +81,12 @@
     // Closes connections that have no open request.
     void close_idle_callers() { server_->close_idle(); }
 
-    // Records whether a host accepts new attempts, as reported by that host.
+    // Records whether a host stops, as announced by that host.
     void set_draining(const std::string& host, bool draining);
 
+    // Records that a host refused an attempt because it stops.
+    void record_stop_refusal(const std::string& host, bool idempotent);
+
     // Records a target proxy's report on its target.
     void record_report(const wire::target_report& report);
 
@@ -109,7 +113,8 @@
 
     // Returns the limits on callers' requests, as set by the rules in force.
     net::caller_limits make_caller_limits() const;
-    bool is_draining(const std::string& host) const;
+    policy::stop_state stop_state_of(const std::string& host) const;
+    base::instant stop_valid_until(const std::string& host) const;
     // Returns what is known of a target, as input for choosing the target of a run of that kind.
     policy::candidate make_candidate(const config::host_entry& host,
                                      const config::target_entry& target,
@@ -178,9 +183,8 @@
     std::unordered_map<std::string, policy::retry_budget> retry_budgets_;
     // All calls that exist; each adds and removes itself.
     std::set<call*> calls_;
-    // Hosts that reported that they are draining, with the time until which the report is valid;
-    // this host itself while it drains.
-    std::unordered_map<std::string, base::instant> draining_until_;
+    // Hosts that announced that they stop; this host itself while it stops.
+    std::unordered_map<std::string, policy::host_stop> host_stops_;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -323,7 +323,11 @@
         stop_.times_, std::max(settings_.drain_idle_, environment_.readiness_lag_));
     // Runs on this host send their nested requests on new connections. Open calls do not: callers
     // that come without a break would keep a host that waits for their end from stopping.
-    if (elapsed >= min_listening && no_runs && caller_proxy_->listening()) {
+    const bool stops_listening = elapsed >= min_listening && no_runs && caller_proxy_->listening();
+    if (stops_listening || elapsed >= stop_.times_.accept_nested_until_) {
+        target_proxy_->close();
+    }
+    if (stops_listening) {
         // The operating system refuses new connections from now on; requests on open connections
         // are still served.
         caller_proxy_->stop_listening();
@@ -340,8 +344,12 @@
     }
     caller_proxy_->close_idle_callers();
     target_proxy_->record_cut_runs();
+    const target_proxy_counters& counters = target_proxy_->counters();
     record("drained", {{"calls", std::to_string(caller_proxy_->open_calls())},
                        {"attempts", std::to_string(target_proxy_->open_attempts())},
+                       {"taken", std::to_string(counters.taken_while_stopping_)},
+                       {"busy", std::to_string(counters.busy_while_stopping_)},
+                       {"refused", std::to_string(counters.refused_while_stopping_)},
                        {"ms", std::to_string(base::whole_ms(elapsed))}});
     loop_->stop();
 }
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -72,19 +72,6 @@
     return proxy;
 }
 
-void target_proxy::drain(const policy::planned_stop& stop) {
-    stop_ = stop;
-    wire::frame frame;
-    frame.__isset.drain_ = true;
-    frame.drain_.host = identity_.host_;
-    for (auto& [socket, link] : connections_) {
-        if (link.handshake_done_) {
-            socket->send(frame);
-        }
-    }
-    refuse_unrunnable_waiting();
-}
-
 void target_proxy::record_cut_runs() const {
     const base::instant now = loop_.clock().now();
     for (const auto& [key, attempt] : attempts_) {
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -44,6 +44,11 @@
     std::uint64_t refused_ = 0;
     std::uint64_t failed_ = 0;
     std::uint64_t links_refused_ = 0;
+    // Attempts during a planned stop: those taken, those that found no free slot, and those for
+    // whose run too little time was left.
+    std::uint64_t taken_while_stopping_ = 0;
+    std::uint64_t busy_while_stopping_ = 0;
+    std::uint64_t refused_while_stopping_ = 0;
 };
 
 class target_proxy final : public net::frame_socket_events, public target_proxy_attempt_owner {
@@ -58,11 +63,14 @@
     target_proxy& operator=(const target_proxy&) = delete;
     ~target_proxy() override;
 
-    // Sends a drain notice to every connected caller proxy and refuses new attempts from now on.
-    // Queued attempts whose runs cannot end in the time of the stop are refused as well, so that
-    // their caller proxies choose another target.
+    // Begins a planned stop: announces it to every connected caller proxy and from now on takes
+    // only attempts that begin at once and end in time. Queued attempts whose runs cannot end in
+    // the time of the stop are refused as well, so that their caller proxies choose another target.
     void drain(const policy::planned_stop& stop);
 
+    // Refuses new attempts from now on and announces that. No effect if it was called before.
+    void close();
+
     // Returns the number of attempts that are queued or running.
     std::size_t open_attempts() const { return attempts_.size(); }
 
@@ -159,7 +167,11 @@
     void on_ping(connection& link, const wire::ping& ping);
     std::optional<wire::refusal_reason> rejection_reason(const wire::attempt_begin& begin) const;
     base::duration expected_run_duration(const wire::attempt_begin& begin) const;
-    std::optional<wire::refusal_reason> run_rejection_reason(
+    bool accepts(const wire::attempt_begin& begin) const;
+    std::optional<wire::refusal_reason> configuration_rejection_reason(
+        const wire::attempt_begin& begin) const;
+    void announce_stop();
+    std::optional<wire::refusal_reason> wait_rejection_reason(
         const wire::attempt_begin& begin) const;
     std::optional<wire::refusal_reason> target_rejection_reason(
         target_state& target, const policy::waiting_request& waiting,
@@ -246,6 +258,8 @@
     target_proxy_counters counters_;
     // The planned stop in progress, if there is one.
     std::optional<policy::planned_stop> stop_;
+    // No attempts are taken any more.
+    bool closed_ = false;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -6,6 +6,7 @@
 #include "node/departure_expiry.h"
 #include "node/target_proxy.h"
 #include "node/wire_attempt.h"
+#include "policy/host_stop.h"
 
 namespace dandelionridge::node {
 
@@ -19,21 +20,53 @@
 
 }  // namespace
 
+void target_proxy::drain(const policy::planned_stop& stop) {
+    stop_ = stop;
+    announce_stop();
+    refuse_unrunnable_waiting();
+}
+
+void target_proxy::close() {
+    if (!std::exchange(closed_, true)) {
+        announce_stop();
+    }
+}
+
+void target_proxy::announce_stop() {
+    wire::frame frame;
+    frame.__isset.drain_ = true;
+    frame.drain_.host = identity_.host_;
+    for (auto& [socket, link] : connections_) {
+        if (link.handshake_done_) {
+            socket->send(frame);
+        }
+    }
+}
+
+// Returns false if a planned stop leaves too little time for the run of an attempt.
+bool target_proxy::accepts(const wire::attempt_begin& begin) const {
+    if (closed_ || !stop_) {
+        return !closed_;
+    }
+    return policy::takes_run_while_stopping(
+        *stop_, {expected_run_duration(begin), begin.idempotent}, loop_.clock().now());
+}
+
 // Returns why an attempt must be refused regardless of its target's load, or nothing if it may be
 // queued.
 std::optional<wire::refusal_reason> target_proxy::rejection_reason(
     const wire::attempt_begin& begin) const {
-    if (stop_) {
+    if (!accepts(begin)) {
         return wire::refusal_reason::draining;
     }
     if (waiting_.size() >= settings_.queued_requests_) {
         return wire::refusal_reason::overload;
     }
-    return run_rejection_reason(begin);
+    return configuration_rejection_reason(begin);
 }
 
 // Returns why an attempt may not run here under the current configuration, or nothing if it may.
-std::optional<wire::refusal_reason> target_proxy::run_rejection_reason(
+std::optional<wire::refusal_reason> target_proxy::configuration_rejection_reason(
     const wire::attempt_begin& begin) const {
     const auto found = find_target(make_admission_view(), begin);
     if (!found) {
@@ -42,11 +75,19 @@
     if (found->leaving_) {
         return wire::refusal_reason::draining;
     }
+    return check_key(make_admission_view(), begin);
+}
+
+// Returns why an attempt may not wait for a slot any longer, or nothing if it may. During
+// a planned stop one that could begin at once may be taken where one that waits is not: then the
+// host is not reported as refusing all.
+std::optional<wire::refusal_reason> target_proxy::wait_rejection_reason(
+    const wire::attempt_begin& begin) const {
     if (stop_ &&
         !policy::run_ends_in_time(*stop_, expected_run_duration(begin), loop_.clock().now())) {
-        return wire::refusal_reason::draining;
+        return accepts(begin) ? wire::refusal_reason::target_busy : wire::refusal_reason::draining;
     }
-    return check_key(make_admission_view(), begin);
+    return configuration_rejection_reason(begin);
 }
 
 // Returns the expected duration of the attempt's run; zero if unknown.
@@ -71,7 +112,7 @@
         waiting.push_back(attempts_.at(key).get());
     }
     for (target_proxy_attempt* attempt : waiting) {
-        if (const auto reason = run_rejection_reason(attempt->begin())) {
+        if (const auto reason = wait_rejection_reason(attempt->begin())) {
             remove_from_queue(*attempt);
             refuse(*attempt, *reason);
         }
@@ -94,7 +135,8 @@
         policy::may_send(target.rate_, now)) {
         return std::nullopt;
     }
-    if (!begin.may_wait) {
+    // During a planned stop the time in which a run can end is short, so none waits for a slot.
+    if (!begin.may_wait || stop_) {
         return wire::refusal_reason::target_busy;
     }
     if (!policy::can_end_in_time(target.queue_, waiting, expected_wait(target, waiting), now)) {
@@ -170,6 +212,7 @@
     }
     if (const auto reason = rejection_reason(begin)) {
         policy::refuse_attempt(ledger_, key);
+        counters_.refused_while_stopping_ += stop_ ? 1 : 0;
         send_refusal(link, ref, *reason, find_state(begin), {});
         return;
     }
@@ -182,9 +225,11 @@
     policy::waiting_request waiting = make_waiting_request(target, begin);
     if (const auto reason = target_rejection_reason(target, waiting, begin)) {
         policy::refuse_attempt(ledger_, key);
+        counters_.busy_while_stopping_ += stop_ ? 1 : 0;
         send_refusal(link, ref, *reason, &target, expected_wait(target, waiting));
         return;
     }
+    counters_.taken_while_stopping_ += stop_ ? 1 : 0;
     enqueue(base::to_string(found->address_), key, std::move(waiting), std::move(begin));
 }
 
@@ -241,7 +286,11 @@
         refuse(attempt, wire::refusal_reason::deadline);
         return;
     }
-    if (const auto reason = run_rejection_reason(attempt.begin())) {
+    if (!accepts(attempt.begin())) {
+        refuse(attempt, wire::refusal_reason::draining);
+        return;
+    }
+    if (const auto reason = configuration_rejection_reason(attempt.begin())) {
         refuse(attempt, *reason);
         return;
     }
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -150,6 +150,104 @@
                                                         : base::duration::zero();
 }
 
+// Selects the targets that a request compares: all targets of a small service, a random sample of
+// a large one, and always the targets that are on trial or request a probe.
+std::vector<bool> sample_targets(std::span<const candidate> candidates,
+                                 base::random_engine& random) {
+    std::vector<bool> sampled(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        sampled[i] = candidates[i].on_trial_ || candidates[i].needs_probe_ ||
+                     base::random_below(random, candidates.size()) < sample_size;
+    }
+    return sampled;
+}
+
+bool has_free_slot(const candidate& target) {
+    return target.load_ + 1 <= std::max(1, target.slots_);
+}
+
+// What the search for a target depends on, besides its stage.
+struct search_context {
+    std::span<const candidate> candidates_;
+    const choice_criteria& criteria_;
+    const std::vector<bool>& sampled_;
+    base::duration usual_duration_{};
+    // Ejected targets are needed for the minimum share.
+    bool needs_ejected_ = false;
+};
+
+// Returns true if the target may get the request in that stage.
+bool is_eligible(const search_context& search, std::size_t index, search_stage stage) {
+    const candidate& target = search.candidates_[index];
+    if (target.excluded_ || target.unreachable_ || too_likely_to_fail(target, search.criteria_) ||
+        (stage == search_stage::sample && !search.sampled_[index])) {
+        return false;
+    }
+    if (stage == search_stage::fallback) {
+        return true;
+    }
+    const bool needed = search.needs_ejected_ && target.suspicion_ <= certain_failure_suspicion;
+    return !target.disconnected_ && (needed || !is_out_of_rotation(target, search.criteria_));
+}
+
+// Returns the expected delay of a target, weighted with its health and a small random factor.
+base::duration score_of(const search_context& search, const candidate& target,
+                        base::random_engine& random) {
+    const bool out_of_rotation = is_out_of_rotation(target, search.criteria_);
+    const double random_fraction = static_cast<double>(base::random_below(random, 1000)) / 1000;
+    double factor = 1 + jitter_width * random_fraction;
+    const bool trial = !out_of_rotation && may_probe(search.criteria_) && needs_trial(target);
+    factor *= trial ? trial_factor : suspicion_factor(target, search.criteria_);
+    if (out_of_rotation) {
+        factor *= out_of_rotation_factor;
+    }
+    if (target.disconnected_) {
+        factor *= disconnected_factor;
+    }
+    return scale(expected_delay(target, search.criteria_, search.usual_duration_), factor);
+}
+
+// Returns the best of the targets that are eligible in that stage and whose process stops, or of
+// those whose process does not.
+std::optional<scored_target> find_best(const search_context& search, search_stage stage,
+                                       bool stopping, base::random_engine& random) {
+    std::optional<scored_target> best;
+    for (std::size_t i = 0; i < search.candidates_.size(); ++i) {
+        const candidate& target = search.candidates_[i];
+        if (target.stopping_ != stopping || !is_eligible(search, i, stage)) {
+            continue;
+        }
+        const base::duration score = score_of(search, target, random);
+        if (!best || score < best->score_) {
+            best = scored_target{i, score, is_out_of_rotation(target, search.criteria_)};
+        }
+    }
+    return best;
+}
+
+// Returns the best of a sample of the targets in rotation or, if there is none in the sample, of
+// all in rotation.
+std::optional<scored_target> find_in_rotation(const search_context& search, bool stopping,
+                                              base::random_engine& random) {
+    const auto best = find_best(search, search_stage::sample, stopping, random);
+    return best ? best : find_best(search, search_stage::in_rotation, stopping, random);
+}
+
+// Returns the better one of the best target whose process does not stop and, if that has no free
+// slot, the best one whose process does.
+std::optional<scored_target> find_in_use(const search_context& search,
+                                         base::random_engine& random) {
+    const auto best = find_in_rotation(search, false, random);
+    if (best && !search.criteria_.found_busy_ && has_free_slot(search.candidates_[best->index_])) {
+        return best;
+    }
+    const auto stopping = find_in_rotation(search, true, random);
+    const bool prefer_stopping =
+        stopping && (!best || (has_free_slot(search.candidates_[stopping->index_]) &&
+                               stopping->score_ < best->score_));
+    return prefer_stopping ? stopping : best;
+}
+
 }  // namespace
 
 std::optional<base::duration> median_duration(std::vector<base::duration> durations) {
@@ -183,59 +281,19 @@
            path_cost(target, criteria);
 }
 
-// Selects the targets that a request compares: all targets of a small service, a random sample of
-// a large one, and always the targets that are on trial or request a probe.
-std::vector<bool> sample_targets(std::span<const candidate> candidates,
-                                 base::random_engine& random) {
-    std::vector<bool> sampled(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        sampled[i] = candidates[i].on_trial_ || candidates[i].needs_probe_ ||
-                     base::random_below(random, candidates.size()) < sample_size;
-    }
-    return sampled;
-}
-
 std::optional<target_choice> choose_target(std::span<const candidate> candidates,
                                            const choice_criteria& criteria,
                                            base::random_engine& random) {
-    const base::duration usual_duration = median_run_duration(candidates);
-    const bool needs_ejected = below_min_share(candidates, criteria);
     const std::vector<bool> sampled = sample_targets(candidates, random);
-    std::optional<scored_target> best;
-    for (const search_stage stage :
-         {search_stage::sample, search_stage::in_rotation, search_stage::fallback}) {
-        const bool fallback = stage == search_stage::fallback;
-        for (std::size_t i = 0; i < candidates.size(); ++i) {
-            const candidate& target = candidates[i];
-            const bool out_of_rotation = is_out_of_rotation(target, criteria);
-            const bool needed = needs_ejected && target.suspicion_ <= certain_failure_suspicion;
-            if ((stage == search_stage::sample && !sampled[i]) || target.excluded_ ||
-                target.unreachable_ || too_likely_to_fail(target, criteria) ||
-                (!fallback && (target.disconnected_ || (out_of_rotation && !needed)))) {
-                continue;
-            }
-            const double random_fraction =
-                static_cast<double>(base::random_below(random, 1000)) / 1000;
-            double factor = 1 + jitter_width * random_fraction;
-            const bool trial = !out_of_rotation && may_probe(criteria) && needs_trial(target);
-            factor *= trial ? trial_factor : suspicion_factor(target, criteria);
-            if (out_of_rotation) {
-                factor *= out_of_rotation_factor;
-            }
-            if (target.disconnected_) {
-                factor *= disconnected_factor;
-            }
-            const base::duration score =
-                scale(expected_delay(target, criteria, usual_duration), factor);
-            if (!best || score < best->score_) {
-                best = scored_target{i, score, out_of_rotation};
-            }
-        }
-        if (best) {
-            return target_choice{best->index_, best->allow_ejected_};
+    const search_context search{candidates, criteria, sampled, median_run_duration(candidates),
+                                below_min_share(candidates, criteria)};
+    std::optional<scored_target> best = find_in_use(search, random);
+    for (const bool stopping : {false, true}) {
+        if (!best) {
+            best = find_best(search, search_stage::fallback, stopping, random);
         }
     }
-    return std::nullopt;
+    return best ? std::optional(target_choice{best->index_, best->allow_ejected_}) : std::nullopt;
 }
 
 }  // namespace dandelionridge::policy
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -49,6 +49,9 @@
     bool needs_probe_ = false;
     // No run on the target has been reported.
     bool untried_ = false;
+    // The process beside the target stops. The target gets a request only if no other has a free
+    // slot, since the process may refuse it.
+    bool stopping_ = false;
     // The target must not get the request, for example because its host is leaving or because the
     // target was tried already.
     bool excluded_ = false;
@@ -62,6 +65,8 @@
     // The response is large, so near targets are preferred more strongly.
     bool download_ = false;
     run_kind kind_ = run_kind::non_idempotent;
+    // A target had no slot for the request although it seemed to have one.
+    bool found_busy_ = false;
     // Share of the targets that always stays in use, even if some of them are ejected.
     double min_share_ = 0;
 };
