Let the test of a request in doubt reach the reserved time

Change: the time left lies within the reserved time. Result: with the reserved time taken off in the decision to wait, the case fails (the decision is to refuse as unknown); with the code as it is, it passes.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -421,8 +421,8 @@
     context.idempotent_ = true;
     context.replayable_ = true;
     context.other_target_ = true;
-    context.time_left_ = base::milliseconds(300);
-    context.reserved_time_ = base::milliseconds(250);
+    context.time_left_ = base::milliseconds(200);
+    context.reserved_time_ = base::milliseconds(240);
     context.run_duration_ = base::milliseconds(100);
     CHECK(decide_retry(budget, {}, context, start) == retry_decision::wait);
     context.reserved_time_ = {};
