--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -6,6 +6,10 @@
 
 namespace dandelionridge::control {
 
+const char* to_text(control::config_value_kind kind) {
+    return kind == control::config_value_kind::rules ? "rules" : "hosts";
+}
+
 config_parsers line_parsers() {
     config_parsers parsers;
     parsers.hosts_ = config::parse_hosts;
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -20,6 +20,9 @@
 
 enum class config_value_kind { rules, hosts };
 
+// Returns the name of a value in events and in the status.
+const char* to_text(config_value_kind kind);
+
 // Functions that parse the lines of one version into a value.
 struct config_parsers {
     std::function<base::result<config::rules_ptr>(std::int64_t version,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,13 +1,11 @@
 #include "node/node.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <span>
 #include <utility>
 
 #include "base/random.h"
 #include "config/host_list_changes.h"
-#include "observe/json_output.h"
 
 namespace dandelionridge::node {
 
@@ -19,20 +17,10 @@
 constexpr int view_requests_per_bound = 4;
 // Time that a change takes from the platform to a host whose watch is waiting, at most.
 constexpr base::duration platform_lead_margin = base::milliseconds(100);
-constexpr base::duration drain_check_interval = base::milliseconds(50);
-// The process ends after more than this many consecutive checks that found nothing in flight.
-constexpr int flush_checks = 2;
 // The source of versions that were read from the platform, in events.
 constexpr const char* platform_source = "platform";
 // Maximum number of targets that one event names in each of its lists.
 constexpr std::size_t max_logged_names = 16;
-constexpr int status_ok = 200;
-constexpr int status_not_found = 404;
-constexpr int status_unavailable = 503;
-
-const char* to_text(control::config_value_kind kind) {
-    return kind == control::config_value_kind::rules ? "rules" : "hosts";
-}
 
 const char* to_text(control::offer_outcome outcome) {
     switch (outcome) {
@@ -65,14 +53,6 @@
     return base::random_id(random);
 }
 
-// Handler of one admin request. The response does not depend on a request body, which is ignored.
-class admin_handler final : public net::http_handler {
-public:
-    void on_body(std::string_view /*bytes*/) override {}
-    void on_body_end() override {}
-    void on_sent(std::size_t /*bytes*/) override {}
-};
-
 }  // namespace
 
 node::node(const base::runtime_clock& clock, config::settings settings, environment environment)
@@ -160,26 +140,6 @@
     return true;
 }
 
-base::result<bool> node::open_admin() {
-    net::http_server_options options;
-    options.address_ = settings_.admin_listen_address_;
-    auto admin = net::http_server::create(
-        *loop_, std::move(options),
-        [this](net::http_exchange& exchange, const net::http_request& request) {
-            net::http_response response;
-            std::string type;
-            const std::string body = admin_response(request.path_, response.status_, type);
-            response.headers_ = {{"content-type", type}};
-            net::send_response(exchange, std::move(response), body);
-            return std::make_unique<admin_handler>();
-        });
-    if (!admin) {
-        return tl::unexpected(admin.error());
-    }
-    admin_ = std::move(*admin);
-    return true;
-}
-
 void node::open_feed() {
     control::config_feed_callbacks callbacks;
     callbacks.published_ = [this](control::config_value_kind kind, std::int64_t version,
@@ -294,66 +254,6 @@
     record("stopped", {});
 }
 
-void node::stop() {
-    loop_->post([this] { begin_drain(); });
-}
-
-void node::begin_drain() {
-    if (draining_) {
-        return;
-    }
-    draining_ = true;
-    stop_ = {policy::drain_times_for(settings_.drain_bound_), clock_.now()};
-    record("draining", {{"calls", std::to_string(caller_proxy_->open_calls())},
-                        {"attempts", std::to_string(target_proxy_->open_attempts())}});
-    target_proxy_->drain(stop_);
-    caller_proxy_->drain(stop_);
-    check_drained();
-}
-
-// Ends the process once nothing is in flight or its time is over. Keeps listening for a while, so
-// that callers learn that they should use another host.
-void node::check_drained() {
-    const base::duration elapsed = clock_.now() - stop_.started_at_;
-    const bool no_runs = target_proxy_->open_attempts() == 0;
-    const bool idle = no_runs && caller_proxy_->open_calls() == 0 && target_proxy_->all_sent();
-    // The operating system may still hold bytes of responses that have just ended.
-    idle_checks_ = idle ? idle_checks_ + 1 : 0;
-    const base::duration min_listening = policy::listening_time(
-        stop_.times_, std::max(settings_.drain_idle_, environment_.readiness_lag_));
-    // Runs on this host send their nested requests on new connections. Open calls do not: callers
-    // that come without a break would keep a host that waits for their end from stopping.
-    const bool stops_listening = elapsed >= min_listening && no_runs && caller_proxy_->listening();
-    if (stops_listening || elapsed >= stop_.times_.accept_nested_until_) {
-        target_proxy_->close();
-    }
-    if (stops_listening) {
-        // The operating system refuses new connections from now on; requests on open connections
-        // are still served.
-        caller_proxy_->stop_listening();
-        idle_checks_ = 0;
-    }
-    const bool finished = (!caller_proxy_->listening() && idle_checks_ > flush_checks) ||
-                          elapsed >= stop_.times_.exit_by_;
-    if (elapsed >= stop_.times_.respond_by_) {
-        caller_proxy_->finish_all_calls();
-    }
-    if (!finished) {
-        drain_timer_->start(drain_check_interval, [this] { check_drained(); });
-        return;
-    }
-    caller_proxy_->close_idle_callers();
-    target_proxy_->record_cut_runs();
-    const target_proxy_counters& counters = target_proxy_->counters();
-    record("drained", {{"calls", std::to_string(caller_proxy_->open_calls())},
-                       {"attempts", std::to_string(target_proxy_->open_attempts())},
-                       {"taken", std::to_string(counters.taken_while_stopping_)},
-                       {"busy", std::to_string(counters.busy_while_stopping_)},
-                       {"refused", std::to_string(counters.refused_while_stopping_)},
-                       {"ms", std::to_string(base::whole_ms(elapsed))}});
-    loop_->stop();
-}
-
 void node::reload(config::settings settings) {
     loop_->post([this, new_settings = std::move(settings)] {
         settings_.drain_bound_ = new_settings.drain_bound_;
@@ -420,82 +320,4 @@
     events_.record(clock_.wall_ms(), kind, std::move(fields));
 }
 
-std::string node::admin_response(const std::string& path, int& status, std::string& type) const {
-    status = status_ok;
-    type = "application/json";
-    if (path == "/status") {
-        return status_json();
-    }
-    if (path == "/events") {
-        return events_.to_json();
-    }
-    type = "text/plain; version=0.0.4";
-    if (path == "/metrics") {
-        return render_metrics();
-    }
-    if (path == "/healthz" || path == environment_.ready_path_) {
-        status = serving() ? status_ok : status_unavailable;
-        return serving() ? "serving\n" : "not serving\n";
-    }
-    status = status_not_found;
-    return "unknown path; try /status, /events, /metrics or /healthz\n";
-}
-
-std::string node::status_json() const {
-    nlohmann::json values;
-    for (const auto kind : {control::config_value_kind::rules, control::config_value_kind::hosts}) {
-        const control::config_value_state& state = configuration_.state(kind);
-        nlohmann::json value = {{"version", state.lines_.version_},
-                                {"lines", state.lines_.lines_.size()},
-                                {"ignored_old", state.ignored_stale_}};
-        if (state.rejected_) {
-            value["rejected_version"] = state.rejected_->version_;
-            value["rejected_why"] = state.rejected_->message_;
-        }
-        values[to_text(kind)] = std::move(value);
-    }
-    const target_proxy_counters& counters = target_proxy_->counters();
-    const nlohmann::json status = {
-        {"host", settings_.host_},
-        {"zone", settings_.zone_},
-        {"boot", identity_.boot_},
-        {"draining", draining_},
-        {"configuration", values},
-        {"confirmed_age_ms", base::whole_ms(configuration_.confirmed_age(clock_.now()))},
-        {"freshness_age_ms", base::whole_ms(gossip_.freshness_age())},
-        {"platform_answers", feed_->platform_available()},
-        {"pauses", loop_->pause_count()},
-        {"links", links_->size()},
-        {"links_open", links_->open_count()},
-        {"target_connections_opened", target_proxy_->connections_opened()},
-        {"calls", caller_proxy_->open_calls()},
-        {"platform_calls", feed_->request_count()},
-        {"guard",
-         {{"open", target_proxy_->open_attempts()},
-          {"started", counters.started_},
-          {"answered", counters.responses_},
-          {"refused", counters.refused_},
-          {"failed", counters.failed_},
-          {"links_refused", counters.links_refused_}}},
-    };
-    return observe::json_text(status, 2) + "\n";
-}
-
-std::string node::render_metrics() const {
-    const target_proxy_counters& counters = target_proxy_->counters();
-    std::vector<observe::gauge> gauges = {
-        {"dandelionridge_rules_version",
-         static_cast<double>(configuration_.version(control::config_value_kind::rules))},
-        {"dandelionridge_hosts_version",
-         static_cast<double>(configuration_.version(control::config_value_kind::hosts))},
-        {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
-        {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
-        {"dandelionridge_links", static_cast<double>(links_->size())},
-    };
-    if (const auto limit = target_proxy_->rate_limit()) {
-        gauges.push_back({"dandelionridge_target_rate_limit_per_second", *limit});
-    }
-    return metrics_.render(gauges);
-}
-
 }  // namespace dandelionridge::node
--- /dev/null
+++ b/src/node/node_admin.cpp
@@ -0,0 +1,124 @@
+// What a node serves on its admin address: readiness, status, events and metrics.
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "node/node.h"
+#include "observe/json_output.h"
+
+namespace dandelionridge::node {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+// Handler of one admin request. The response does not depend on a request body, which is ignored.
+class admin_handler final : public net::http_handler {
+public:
+    void on_body(std::string_view /*bytes*/) override {}
+    void on_body_end() override {}
+    void on_sent(std::size_t /*bytes*/) override {}
+};
+
+}  // namespace
+
+base::result<bool> node::open_admin() {
+    net::http_server_options options;
+    options.address_ = settings_.admin_listen_address_;
+    auto admin = net::http_server::create(
+        *loop_, std::move(options),
+        [this](net::http_exchange& exchange, const net::http_request& request) {
+            net::http_response response;
+            std::string type;
+            const std::string body = admin_response(request.path_, response.status_, type);
+            response.headers_ = {{"content-type", type}};
+            net::send_response(exchange, std::move(response), body);
+            return std::make_unique<admin_handler>();
+        });
+    if (!admin) {
+        return tl::unexpected(admin.error());
+    }
+    admin_ = std::move(*admin);
+    return true;
+}
+
+std::string node::admin_response(const std::string& path, int& status, std::string& type) const {
+    status = status_ok;
+    type = "application/json";
+    if (path == "/status") {
+        return status_json();
+    }
+    if (path == "/events") {
+        return events_.to_json();
+    }
+    type = "text/plain; version=0.0.4";
+    if (path == "/metrics") {
+        return render_metrics();
+    }
+    if (path == "/healthz" || path == environment_.ready_path_) {
+        status = serving() ? status_ok : status_unavailable;
+        return serving() ? "serving\n" : "not serving\n";
+    }
+    status = status_not_found;
+    return "unknown path; try /status, /events, /metrics or /healthz\n";
+}
+
+std::string node::status_json() const {
+    nlohmann::json values;
+    for (const auto kind : {control::config_value_kind::rules, control::config_value_kind::hosts}) {
+        const control::config_value_state& state = configuration_.state(kind);
+        nlohmann::json value = {{"version", state.lines_.version_},
+                                {"lines", state.lines_.lines_.size()},
+                                {"ignored_old", state.ignored_stale_}};
+        if (state.rejected_) {
+            value["rejected_version"] = state.rejected_->version_;
+            value["rejected_why"] = state.rejected_->message_;
+        }
+        values[to_text(kind)] = std::move(value);
+    }
+    const target_proxy_counters& counters = target_proxy_->counters();
+    const nlohmann::json status = {
+        {"host", settings_.host_},
+        {"zone", settings_.zone_},
+        {"boot", identity_.boot_},
+        {"draining", draining_},
+        {"configuration", values},
+        {"confirmed_age_ms", base::whole_ms(configuration_.confirmed_age(clock_.now()))},
+        {"freshness_age_ms", base::whole_ms(gossip_.freshness_age())},
+        {"platform_answers", feed_->platform_available()},
+        {"pauses", loop_->pause_count()},
+        {"links", links_->size()},
+        {"links_open", links_->open_count()},
+        {"target_connections_opened", target_proxy_->connections_opened()},
+        {"calls", caller_proxy_->open_calls()},
+        {"platform_calls", feed_->request_count()},
+        {"guard",
+         {{"open", target_proxy_->open_attempts()},
+          {"started", counters.started_},
+          {"answered", counters.responses_},
+          {"refused", counters.refused_},
+          {"failed", counters.failed_},
+          {"links_refused", counters.links_refused_}}},
+    };
+    return observe::json_text(status, 2) + "\n";
+}
+
+std::string node::render_metrics() const {
+    const target_proxy_counters& counters = target_proxy_->counters();
+    std::vector<observe::gauge> gauges = {
+        {"dandelionridge_rules_version",
+         static_cast<double>(configuration_.version(control::config_value_kind::rules))},
+        {"dandelionridge_hosts_version",
+         static_cast<double>(configuration_.version(control::config_value_kind::hosts))},
+        {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
+        {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
+        {"dandelionridge_links", static_cast<double>(links_->size())},
+    };
+    if (const auto limit = target_proxy_->rate_limit()) {
+        gauges.push_back({"dandelionridge_target_rate_limit_per_second", *limit});
+    }
+    return metrics_.render(gauges);
+}
+
+}  // namespace dandelionridge::node
