Begin runs during a planned stop whatever their target's last ones took

What callers saw: a host in a planned stop refused requests that would have ended in time, as "no target".

Traced from the kept logs of one failure: 81 refusals "503 no_target" while one run hung.

Change: the check is taken out; the target's own deadline within the stop bounds the run. What is refused for lack of time says "stopping" or "deadline".

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -89,7 +89,6 @@
     void on_overdue();
     std::set<std::string> targets_used() const;
     std::optional<chosen_target> choose();
-    std::optional<chosen_target> choose_in_time();
     wire::attempt_begin make_attempt_begin(const chosen_target& chosen) const;
     void add_headers(wire::attempt_begin& begin) const;
     void abandon_attempt();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -75,19 +75,9 @@
     return chosen;
 }
 
-// Returns the target of the next attempt; nothing if there is none, or if too little time is left
-// for it. During a planned stop a run that would be cut is not begun either.
-std::optional<chosen_target> call::choose_in_time() {
-    if (run_time_left() <= min_time_left()) {
-        return std::nullopt;
-    }
-    const auto chosen = choose();
-    const bool cut = chosen && owner_.draining() && chosen->run_duration_ >= run_time_left();
-    return cut ? std::nullopt : chosen;
-}
-
 void call::start_attempt() {
-    const auto chosen = choose_in_time();
+    const bool late = run_time_left() <= min_time_left();
+    const auto chosen = late ? std::nullopt : choose();
     if (!chosen) {
         if (head_sent_) {
             abort_response();
@@ -96,7 +86,6 @@
         } else if (may_have_run_) {
             refuse_unknown(filter::reason::target_failed);
         } else {
-            const bool late = run_time_left() <= min_time_left();
             refuse_not_run(late ? end_reason() : filter::reason::no_target);
         }
         return;
