--- a/review/support/standin.h
+++ b/review/support/standin.h
@@ -814,6 +814,23 @@
         return true;
     }
 
+    // Writes the end of each process's log and its state into the record.
+    void explain(record_file& record) {
+        for (std::size_t host = 0; host < size(); ++host) {
+            std::ifstream in(folder_ + "/h" + std::to_string(host) + ".log");
+            std::vector<std::string> lines;
+            for (std::string line; std::getline(in, line);) {
+                lines.push_back(line);
+            }
+            for (std::size_t i = lines.size() < 8 ? 0 : lines.size() - 8; i < lines.size(); ++i) {
+                record.line("log " + std::to_string(host) + " " + lines[i]);
+            }
+            record.line("ended " + std::to_string(processes_[host]->ended()) + " status " +
+                        admin_page(host, "/status"));
+        }
+        record.flush();
+    }
+
     // A configuration with, for each service S, host S.example: /reads/ (idempotent) and /orders/
     // (non_idempotent), and one tenant without a limit.
     std::string configuration(const std::string& version, double timeout_s) const {
