--- a/review/support/standin.h
+++ b/review/support/standin.h
@@ -213,6 +213,7 @@
                 const end state = more(deadline);
                 if (state != end::message) {
                     out.body_ = buffer_;
+                    missing_ = count;
                     return state;
                 }
             }
@@ -235,6 +236,24 @@
         return end::message;
     }
 
+    // Goes on with an answer for which read() had not enough time. Only an answer with a length can
+    // be continued after its head.
+    end read_rest(message& out, double deadline) {
+        if (out.status_ == 0) {
+            return read(out, deadline, true);
+        }
+        while (buffer_.size() < missing_) {
+            const end state = more(deadline);
+            if (state != end::message) {
+                out.body_ = buffer_;
+                return state;
+            }
+        }
+        out.body_ = buffer_.substr(0, missing_);
+        buffer_.erase(0, missing_);
+        return end::message;
+    }
+
     const std::string& unread() const { return buffer_; }
 
 private:
@@ -330,6 +349,8 @@
 
     int fd_;
     std::string buffer_;
+    // Length of the body that read() did not get in full.
+    std::size_t missing_ = 0;
 };
 
 inline const char* to_text(http_stream::end value) {
@@ -833,7 +854,8 @@
 
     // A configuration with, for each service S, host S.example: /reads/ (idempotent) and /orders/
     // (non_idempotent), and one tenant without a limit.
-    std::string configuration(const std::string& version, double timeout_s) const {
+    std::string configuration(const std::string& version, double timeout_s,
+                              const std::string& key = tenant_key) const {
         std::string list;
         for (const std::string& name :
              std::set<std::string>(options_.services_.begin(), options_.services_.end())) {
@@ -854,7 +876,7 @@
         }
         return "{\"version\":\"" + version + "\",\"resources\":[" + list +
                "{\"type\":\"tenants\",\"metadata\":{\"name\":\"bozi300\"},\"spec\":{\"apiKeys\":[\"" +
-               tenant_key +
+               key +
                "\"],\"priority\":1}},{\"type\":\"limits\",\"metadata\":{},\"spec\":{"
                "\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,"
                "\"idleTimeoutS\":15}}]}";
@@ -942,6 +964,8 @@
     const std::string& id() const { return id_; }
     // Body of the answer to a request; a case may set another.
     std::function<std::string(const message&)> make_body_;
+    // Share of the requests that it runs and answers with 500.
+    double failing_share_ = 0;
 
 private:
     static std::string answer(int status, const char* reason, const std::string& headers,
@@ -970,6 +994,7 @@
     void serve(int fd) {
         http_stream stream(fd);
         message request;
+        std::mt19937 random(std::random_device{}());
         for (;;) {
             const auto state = stream.read(request, now_s() + idle_s_, false);
             if (state != http_stream::end::message) {
@@ -1001,8 +1026,10 @@
                          " bytes '" + request.body_.substr(0, 24) + "'");
             sleep_s(work_s_);
             free_slot();
+            const bool fails = (random() % 1000) < 1000 * failing_share_;
             const std::string body = make_body_ ? make_body_(request) : "done " + id + "\n";
-            if (!send_all(fd, answer(200, "OK", echo + "X-Response-Seal: " + id_ + "." + id + "\r\n",
+            if (!send_all(fd, answer(fails ? 500 : 200, fails ? "Internal Server Error" : "OK",
+                                     echo + "X-Response-Seal: " + id_ + "." + id + "\r\n",
                                      body))) {
                 break;
             }
