--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,5 @@
-// Case 2: a tenant sends many times its usual, orders of 150 kB. Those that the fleet refuses leave
-// their consumers' connections unread: the next order on such a connection gets no answer. See
-// claim.txt.
+// Case 2: connections between a host's process and its upstream are reset while consumers send
+// non-idempotent requests with chunked bodies. See claim.txt.
 #include "../support/standin.h"
 
 using namespace review;
@@ -8,23 +7,13 @@
 namespace {
 
 constexpr int slots = 5;
-constexpr double work_s = 0.25;
-constexpr double route_timeout_s = 4;
-// Consumers of the tenant, each with one large order at a time: { kind = "hot_tenant", x = 7.5,
-// for_s = 6.5 } is the bench's entry.
-constexpr int usual_consumers = 9;
-constexpr int hot_consumers = 60;
-constexpr double hot_s = 3;
-// From the end of these seconds to the next order on the same connections. idleTimeoutS is 15, of which
-// consumers use up to four fifths.
-constexpr double pause_s = 6;
-constexpr std::size_t large_body = 150'000;
-
-struct tally {
-    std::atomic<int> answered_{0};
-    std::atomic<int> refused_{0};
-    std::atomic<int> other_{0};
-};
+constexpr double work_s = 0.005;
+constexpr int clients = 36;
+constexpr double traffic_s = 60;
+// One host of three at a time (a share of 0.33), and 0.55 of its connections to its upstream: the
+// bench's entry is { kind = "reset_conns", share = 0.35, x = 0.55 }.
+constexpr double reset_gap_s = 1;
+constexpr double reset_share = 0.55;
 
 }  // namespace
 
@@ -37,101 +26,112 @@
     run_book book;
     deployment fleet({.services_ = {"orders", "orders", "orders"}, .slots_ = slots}, argv[1]);
     std::vector<std::unique_ptr<upstream>> upstreams;
-    fleet.platform().put("op/config", fleet.configuration("0000000c", route_timeout_s));
+    std::vector<std::unique_ptr<tcp_proxy>> proxies;
+    fleet.platform().put("op/config", fleet.configuration("0000000c", 10));
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         upstreams.push_back(std::make_unique<upstream>(fleet.ip(i), "i-" + std::to_string(i + 1),
                                                        book, record, slots, work_s));
-        fleet.write_entry(i, upstreams[i]->where(), upstreams[i]->id());
-        fleet.start(i, upstreams[i]->where());
+        upstreams[i]->make_body_ = [](const message& request) {
+            return std::string(request.method_ == "GET" ? 600'000 : 30, 'd');
+        };
+        proxies.push_back(
+            std::make_unique<tcp_proxy>(fleet.ip(i), 0, upstreams[i]->where()));
+        fleet.write_entry(i, proxies[i]->where(), upstreams[i]->id());
+    }
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.start(i, proxies[i]->where());
     }
     if (!fleet.wait_ready()) {
         fleet.explain(record);
         record.result("the processes did not become ready");
         return 2;
     }
-    const double hot_end = now_s() + hot_s;
-    const double second_at = hot_end + pause_s;
-    tally first;
-    // Of the small orders afterwards.
-    std::atomic<int> sent{0};
-    std::atomic<int> unanswered_at_timeout{0};
-    std::atomic<int> unanswered_later{0};
+    std::atomic<bool> stop = false;
+    std::mutex sent_mutex;
+    std::map<std::string, sent_request> sent;
+    std::atomic<int> answered = 0;
+    std::atomic<int> failed = 0;
     std::vector<std::thread> threads;
-    const int consumers = trouble() ? hot_consumers : usual_consumers;
-    for (int i = 0; i < consumers; ++i) {
+    for (int i = 0; i < clients; ++i) {
         threads.emplace_back([&, i] {
-            std::mt19937_64 random(2000 + static_cast<unsigned>(i));
-            const int fd = connect_to(fleet.callers(static_cast<std::size_t>(i) % fleet.size()));
-            http_stream stream(fd);
-            const auto make = [&](std::size_t bytes) {
+            std::mt19937_64 random(1000 + static_cast<unsigned>(i));
+            consumer self(fleet.callers(static_cast<std::size_t>(i) % fleet.size()));
+            while (!stop) {
                 sent_request request;
                 request.id_ = random_id(random);
-                request.path_ = "/orders/" + request.id_.substr(0, 4);
                 request.host_ = "orders.example";
-                request.body_ = "order " + request.id_ + " ";
-                request.body_.resize(bytes, 'x');
-                record.line("sent     " + request.id_ + " body " + std::to_string(bytes) +
-                            " bytes by consumer " + std::to_string(i));
-                return request;
-            };
-            const auto note = [&](const sent_request& request, http_stream::end end,
-                                  const message& answer) {
-                record.line("answered " + request.id_ + " " +
-                            (end == http_stream::end::message
-                                 ? std::to_string(answer.status_) + " " +
-                                       answer.header("x-dandelionridge-reason")
-                                 : to_text(end)));
-            };
-            bool usable = true;
-            // Large orders. A consumer that was refused does not come back at once.
-            bool refused = false;
-            while (usable && !refused && now_s() < hot_end) {
-                const sent_request request = make(large_body);
-                message answer;
-                send_all(fd, request_text(request));
-                const auto end = stream.read(answer, now_s() + 12, true);
-                note(request, end, answer);
-                usable = end == http_stream::end::message && answer.header("connection") != "close";
-                refused = usable && answer.status_ == 503;
-                (refused ? first.refused_ : answer.status_ == 200 ? first.answered_ : first.other_)++;
-            }
-            if (usable) {
-                sleep_s(second_at + 0.05 * i - now_s());
-                const sent_request request = make(300);
-                const double sent_at = now_s();
-                ++sent;
-                send_all(fd, request_text(request));
-                message answer;
-                auto end = stream.read(answer, sent_at + route_timeout_s, true);
-                if (end == http_stream::end::timeout) {
-                    ++unanswered_at_timeout;
-                    end = stream.read(answer, sent_at + route_timeout_s + 0.5, true);
-                    unanswered_later += end == http_stream::end::message ? 0 : 1;
-                    if (end == http_stream::end::timeout) {
-                        note(request, end, answer);
-                        // The consumer waits on, until its own time of 12 s is over.
-                        end = stream.read(answer, sent_at + 12, true);
-                    }
+                // A quarter of the consumers read drawings of 600 kB, the others place orders with
+                // chunked bodies.
+                if (i % 4 == 0) {
+                    request.method_ = "GET";
+                    request.path_ = "/reads/" + request.id_.substr(0, 4);
+                } else {
+                    request.path_ = "/orders/" + request.id_.substr(0, 4);
+                    request.body_ = "order " + request.id_ + " " + std::string(260, 'x');
+                    request.chunked_ = true;
                 }
-                note(request, end, answer);
+                {
+                    const std::lock_guard lock(sent_mutex);
+                    sent[request.id_] = request;
+                }
+                record.line("sent     " + request.id_ + " " + request.method_ + " " +
+                            request.path_ + " body " + std::to_string(request.body_.size()) +
+                            " bytes");
+                const outcome result = self.send(request);
+                const bool ok =
+                    result.end_ == http_stream::end::message && result.answer_.status_ == 200;
+                (ok ? answered : failed)++;
+                record.line("answered " + request.id_ + " " +
+                            (result.end_ == http_stream::end::message
+                                 ? std::to_string(result.answer_.status_) + " " +
+                                       result.answer_.header("x-dandelionridge-reason")
+                                 : to_text(result.end_)));
+                sleep_s(0.002 * static_cast<double>(random() % 20));
             }
-            close(fd);
         });
     }
+    std::mt19937 random(7);
+    const double begin = now_s();
+    int resets = 0;
+    while (now_s() - begin < traffic_s) {
+        sleep_s(reset_gap_s);
+        if (trouble()) {
+            const std::size_t host = random() % fleet.size();
+            const std::size_t count = proxies[host]->reset(reset_share, random);
+            ++resets;
+            record.line("reset    " + std::to_string(count) + " connections to " +
+                        upstreams[host]->id());
+        }
+    }
+    stop = true;
     for (std::thread& thread : threads) {
         thread.join();
     }
-    const bool broken =
-        unanswered_later >= 8 && 2 * unanswered_later > unanswered_at_timeout;
-    record.result("hot tenant: " + std::to_string(first.answered_) + " orders answered 200, " +
-                  std::to_string(first.refused_) + " refused with 503, " +
-                  std::to_string(first.other_) + " otherwise; " + std::to_string(pause_s) +
-                  " s later: " + std::to_string(sent) + " orders, " +
-                  std::to_string(unanswered_at_timeout) + " without an answer at timeoutS, " +
-                  std::to_string(unanswered_later) + " without one 0.5 s later" +
-                  (broken ? "; CONFIG broken" : ""));
-    if (sent == 0) {
+    int wrong = 0;
+    int twice = 0;
+    for (const auto& [id, runs] : book.all()) {
+        const auto found = sent.find(id);
+        const bool idempotent = found != sent.end() && found->second.method_ == "GET";
+        twice += runs.size() > 1 && !idempotent ? 1 : 0;
+        for (const run_entry& run : runs) {
+            const bool same = found != sent.end() && run.method_ == found->second.method_ &&
+                              run.path_ == found->second.path_ && run.body_ == found->second.body_;
+            if (!same) {
+                ++wrong;
+                record.result("UNASKED broken: request " + id + " ran at " + run.upstream_ +
+                              " with a body of " + std::to_string(run.body_.size()) +
+                              " bytes; sent were " +
+                              (found == sent.end() ? "none"
+                                                   : std::to_string(found->second.body_.size())));
+            }
+        }
+    }
+    record.result(std::to_string(sent.size()) + " requests, " + std::to_string(answered) +
+                  " answered 200, " + std::to_string(failed) + " otherwise, " +
+                  std::to_string(resets) + " resets; " + std::to_string(wrong) +
+                  " runs with another body, " + std::to_string(twice) + " not idempotent ran twice");
+    if (answered == 0) {
         return 2;
     }
-    return broken ? 1 : 0;
+    return wrong > 0 || twice > 0 ? 1 : 0;
 }
