--- a/review/support/standin.h
+++ b/review/support/standin.h
@@ -964,6 +964,8 @@
     const std::string& id() const { return id_; }
     // Body of the answer to a request; a case may set another.
     std::function<std::string(const message&)> make_body_;
+    // Called when the last byte of an answer was handed over to the system.
+    std::function<void(const std::string&)> on_answered_;
     // Share of the requests that it runs and answers with 500.
     double failing_share_ = 0;
 
@@ -1033,6 +1035,9 @@
                                      body))) {
                 break;
             }
+            if (on_answered_) {
+                on_answered_(id);
+            }
         }
         close(fd);
     }
