Send the whole body when a request goes out on a second connection

Cause: a kept connection that is broken before a byte was written makes the request go out on a new one. The body buffered so far had been moved into the output of the first connection, and parts that came later were written there only; both were lost with it.

--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -102,8 +102,8 @@
 
 void target_proxy_attempt::start(net::http_client_pool& pool, base::duration max_idle_time) {
     request_ = pool.start(make_request(), max_idle_time, *this);
-    if (has_request_body() && (request_body_ended_ || !pending_request_body_.empty())) {
-        request_->send_body(std::exchange(pending_request_body_, {}), request_body_ended_);
+    if (has_request_body() && (request_body_ended_ || !unsent_request_body_.empty())) {
+        request_->send_body(unsent_request_body_, request_body_ended_);
     }
 }
 
@@ -119,14 +119,17 @@
 
 void target_proxy_attempt::on_request_body(const wire::body_part& part) {
     request_body_ended_ = request_body_ended_ || part.last;
+    if (!request_left_host_ && !finished_) {
+        unsent_request_body_ += part.bytes;
+    }
     if (running()) {
         request_->send_body(part.bytes, part.last);
-    } else if (!finished_) {
-        pending_request_body_ += part.bytes;
     }
 }
 
 void target_proxy_attempt::on_request_sent(std::size_t bytes) {
+    request_left_host_ = true;
+    unsent_request_body_ = {};
     if (!has_request_body()) {
         return;
     }
@@ -296,7 +299,7 @@
         end(attempt_result::not_run);
         return;
     }
-    // Nothing of the request has left this host, so it goes out on a new connection.
+    // Nothing of the request has left this host, so all of it goes out on a new connection.
     loop_.defer([old = std::shared_ptr<net::http_client_request>(std::move(request_))] {});
     start(*pool_, base::duration(-1));
 }
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -187,8 +187,10 @@
     net::timer timeout_timer_;
     net::http_client_pool* pool_ = nullptr;
     std::unique_ptr<net::http_client_request> request_;
-    // Request body received before the run began.
-    std::string pending_request_body_;
+    // Request body received so far, until a byte of the request has left this host: up to then the
+    // request may have to go out on another connection.
+    std::string unsent_request_body_;
+    bool request_left_host_ = false;
     bool request_body_ended_ = true;
     // Body bytes of a streamed response that may still be sent without further credit.
     std::int64_t response_credit_bytes_ = response_window_bytes;
