Continue a download only if its request can be repeated whole

A GET with a body of more than 64 KiB whose download broke off ended the process: its continuation at another target began to send the body at an offset that was no longer buffered, and std::string_view::substr threw.

Cause: of all places that send a request again, only resume_or_abort() did not ask whether the body is still there from its beginning.

Change: it does; the download breaks off visibly instead.

--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -250,7 +250,8 @@
 // Requests the rest of the response from another target if a strong ETag ensures that it is the
 // same, or aborts the response.
 void call::resume_or_abort() {
-    const bool can_resume = !resumable_etag_.empty() && attempts_ < context_.route_->attempts_ &&
+    const bool can_resume = !resumable_etag_.empty() && replayable() &&
+                            attempts_ < context_.route_->attempts_ &&
                             forwarded_bytes_ < response_length_ && choose().has_value();
     if (!can_resume) {
         abort_response();
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -43,6 +43,20 @@
     CHECK(fleet.target("t2").total_runs() == 1);
 }
 
+// Guards against: a download whose request had a long body was continued with a request whose body
+// was no longer there, which ended the process.
+TEST_CASE("a download whose request body is gone is not continued", "[promise-whole-answer]") {
+    fleet fleet(targets_in_two_zones_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::truncated_body});
+    caller_request request = download(fleet, "d");
+    request.body_ = std::string(200'000, 'b');
+    caller caller;
+    CHECK_FALSE(caller.send(request).complete_);
+    CHECK(fleet.target("t2").total_runs() == 0);
+    CHECK(caller.send(order_request(fleet, "h1", "next", "GET")).complete_);
+}
+
 TEST_CASE("a download is completed when its target proxy is killed", "[promise-whole-answer]") {
     fleet_plan plan = targets_in_two_zones_plan();
     plan.relayed_hosts_ = {"h2"};
