Resume a connection to a target before it is pooled

Cause: a streamed response is paused when its credit is used up. If its last bytes were read in the same step, the connection went back to the pool while still paused, and the next request's response was never read.

Change: the pool resumes a connection that it takes back. It then also notices that the server closes it. The new test fails without that (its second request has no response) and passes with it.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -306,6 +306,8 @@
         loop_.defer([ended = std::shared_ptr<byte_socket>(std::move(socket))] {});
         return;
     }
+    // The next request reads from the start, and a close by the server is noticed meanwhile.
+    socket->resume();
     idle_.push_back(
         std::make_unique<pooled_connection>(*this, std::move(socket), now, now + idle_time));
     if (idle_.size() == 1) {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -119,6 +119,38 @@
     base::address address_;
 };
 
+// Accepts one connection, and responds to each request on it, which must arrive in one piece.
+class keep_alive_server {
+public:
+    explicit keep_alive_server(std::string response) {
+        const loopback_listener listener = listen_on_loopback(1);
+        listener_ = listener.fd_;
+        address_ = {"127.0.0.1", ntohs(listener.address_.sin_port)};
+        thread_ = std::thread([this, response = std::move(response)] {
+            const int fd = accept(listener_, nullptr, nullptr);
+            char request[4096];
+            while (read(fd, request, sizeof(request)) > 0) {
+                send(fd, response.data(), response.size(), MSG_NOSIGNAL);
+            }
+            close(fd);
+        });
+    }
+    keep_alive_server(const keep_alive_server&) = delete;
+    keep_alive_server& operator=(const keep_alive_server&) = delete;
+    ~keep_alive_server() {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+
+    const base::address& address() const { return address_; }
+
+private:
+    int listener_ = -1;
+    base::address address_;
+    std::thread thread_;
+};
+
 // Records the response to one request or its failure, and stops the loop when the request has
 // ended.
 class recorder final : public net::http_client_events {
@@ -372,6 +404,42 @@
     CHECK(events.outcome_ == "never_sent");
 }
 
+// Guards against: a response that ended while its reading was paused left its connection paused;
+// the next request on it ran, and its response was never read (504 at the deadline).
+TEST_CASE("a connection that was paused is read again for its next request", "[net][contract]") {
+    struct pausing_recorder final : public net::http_client_events {
+        void on_response(const net::http_response& /*response*/) override {}
+        void on_response_body(std::string_view /*bytes*/) override { request_->pause_response(); }
+        void on_end(bool complete) override { complete_ = complete; }
+        void on_failed(net::client_failure /*failure*/) override {}
+        void on_request_sent(std::size_t /*bytes*/) override {}
+
+        net::http_client_request* request_ = nullptr;
+        bool complete_ = false;
+    };
+    const base::runtime_clock clock;
+    const keep_alive_server server(length_head + "hello");
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    net::http_client_pool pool(*loop, server.address(), {});
+    for (int i = 0; i < 2; ++i) {
+        INFO("request " << i);
+        pausing_recorder events;
+        net::http_request request;
+        request.method_ = "GET";
+        request.path_ = "/x";
+        const auto started = pool.start(std::move(request), base::seconds(60), events);
+        events.request_ = started.get();
+        bool timed_out = false;
+        net::timer give_up(*loop);
+        give_up.start(base::seconds(5), [&] { timed_out = true; });
+        while (!events.complete_ && !timed_out) {
+            loop->run_once();
+        }
+        CHECK(events.complete_);
+    }
+    CHECK(pool.opened() == 1);
+}
+
 TEST_CASE("a fetch may be replaced by another one from within its callback", "[net][contract]") {
     const base::runtime_clock clock;
     const auto loop = std::move(net::event_loop::create(clock).value());
