--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -43,6 +43,8 @@
     std::size_t remembered_attempts_ = 20'000;
     // Maximum number of requests that wait for a slot on this host, over all organisations.
     std::size_t queued_requests_ = 1'000;
+    // Memory in megabytes that the process may use. Bodies of responses may fill a quarter of it.
+    double memory_mb_ = 256;
     // [times]
     // Maximum time that a planned stop waits for requests in flight.
     base::duration drain_bound_ = base::seconds(30);
--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -140,13 +140,13 @@
 }
 
 void byte_socket::pause() {
-    if (wsi_ != nullptr) {
+    if (wsi_ != nullptr && !std::exchange(paused_, true)) {
         lws_rx_flow_control(wsi_, 0);
     }
 }
 
 void byte_socket::resume() {
-    if (wsi_ != nullptr) {
+    if (wsi_ != nullptr && std::exchange(paused_, false)) {
         lws_rx_flow_control(wsi_, 1);
     }
 }
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -110,6 +110,7 @@
     std::size_t written_ = 0;
     keepalive_options keepalive_;
     bool open_ = false;
+    bool paused_ = false;
 };
 
 // Listens on an address and hands each new connection to the owner's callback.
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -16,6 +16,7 @@
 #include "net/http_server.h"
 #include "node/caller_proxy.h"
 #include "node/peer_link.h"
+#include "policy/response_memory.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -108,6 +109,8 @@
     void forward_head(const wire::answer_head& head);
     void finish_response();
     void forward_held_failure();
+    void claim_response_window();
+    bool claim_whole_failure(const wire::answer_head& head);
     void refuse(const filter::refusal& refusal);
     void refuse_unknown(filter::reason reason);
     void refuse_not_run(filter::reason reason);
@@ -176,6 +179,10 @@
     bool resuming_ = false;
     // Bytes of a resent response still to be dropped, because the caller already has them.
     std::uint64_t skip_bytes_ = 0;
+    // Memory for the response's bytes that this process may receive before the caller reads them.
+    policy::memory_claim response_claim_;
+    // Bytes of the response that may be in flight from the target proxy.
+    std::size_t response_window_ = 0;
     // Forwarded bytes that have not left this process yet.
     std::uint64_t unsent_bytes_ = 0;
     // Forwarded bytes that have left this process, for which no credit was sent yet.
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -100,6 +100,7 @@
     attempt_->run_duration_ = chosen.run_duration_;
     attempt_->target_started_ms_ = chosen.target_->started_ms_;
     owner_.views_.begin_attempt(attempt_->target_);
+    claim_response_window();
     peer_link& link = *attempt_->link_;
     link.start(make_attempt_begin(chosen), *this);
 }
@@ -124,6 +125,7 @@
     begin.allow_ejected = chosen.allow_ejected_;
     begin.chunked_body = context_.request_.chunked_;
     begin.download = context_.route_->download_;
+    begin.__set_response_window(static_cast<std::int32_t>(response_window_));
     begin.repeat = attempts_ > 0 || resent_;
     const target_view* view = owner_.views_.find(begin.target_name);
     if (view != nullptr && view->report_.__isset.rate_limit) {
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -19,8 +19,8 @@
 constexpr int status_gateway_timeout = 504;
 constexpr int min_error_status = 400;
 constexpr int min_server_error_status = 500;
-// Credit is sent to the target proxy once at least this much is due.
-constexpr std::uint64_t credit_step_bytes = 32 * 1024;
+// Credit is sent to the target proxy once at least this part of the window is due.
+constexpr std::uint64_t credit_step_divisor = 8;
 
 // Formats a time in seconds with three decimal places, at least 0.001.
 std::string seconds_text(base::duration value) {
@@ -51,7 +51,8 @@
         skip_bytes_ = forwarded_bytes_;
         return;
     }
-    if (head.status >= min_server_error_status && context_.idempotent_) {
+    if (head.status >= min_server_error_status && context_.idempotent_ &&
+        claim_whole_failure(head)) {
         holding_failure_ = true;
         held_failure_ = held_failure{head, {}, attempt_->target_};
         return;
@@ -59,6 +60,33 @@
     forward_head(head);
 }
 
+// Claims memory for the window of the attempt in progress, beside a failure that is held.
+void call::claim_response_window() {
+    policy::response_memory& memory = owner_.dependencies_.response_memory_;
+    const std::size_t held = held_failure_ ? held_failure_->body_.size() : 0;
+    response_claim_.set(attempt_->target_, held);
+    response_window_ = policy::response_window(memory, attempt_->target_);
+    response_claim_.set(attempt_->target_, held + response_window_);
+}
+
+// Lets the target proxy send the whole body of a failure, which is held until a retry has ended.
+// Returns false if the target may not claim as much memory: the failure is then forwarded.
+bool call::claim_whole_failure(const wire::answer_head& head) {
+    const policy::response_memory& memory = owner_.dependencies_.response_memory_;
+    const bool has_body = head.__isset.length && context_.request_.method_ != "HEAD";
+    const std::size_t length = has_body ? static_cast<std::size_t>(head.length) : 0;
+    const std::size_t beyond_window = length - std::min(length, response_window_);
+    if (beyond_window == 0) {
+        return true;
+    }
+    if (policy::available_to(memory, attempt_->target_) < beyond_window) {
+        return false;
+    }
+    response_claim_.set(attempt_->target_, response_claim_.bytes() + beyond_window);
+    attempt_->link_->send_credit(attempt_->id_, static_cast<std::int32_t>(beyond_window));
+    return true;
+}
+
 void call::forward_head(const wire::answer_head& head) {
     // The deadline applies only to the start of the response; a body may take longer as long as it
     // makes progress.
@@ -144,7 +172,7 @@
     const std::uint64_t sent = std::min<std::uint64_t>(unsent_bytes_, bytes);
     credit_due_ += sent;
     unsent_bytes_ -= sent;
-    if (credit_due_ >= credit_step_bytes) {
+    if (credit_due_ >= response_window_ / credit_step_divisor) {
         attempt_->link_->send_credit(attempt_->id_, static_cast<std::int32_t>(credit_due_));
         credit_due_ = 0;
     }
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -26,6 +26,7 @@
 #include "policy/departures.h"
 #include "policy/drain.h"
 #include "policy/host_stop.h"
+#include "policy/response_memory.h"
 #include "policy/retry.h"
 
 namespace dandelionridge::node {
@@ -51,6 +52,7 @@
     const control::configuration& configuration_;
     control::quota_gate& quota_;
     link_pool& links_;
+    policy::response_memory& response_memory_;
     observe::metrics& metrics_;
     observe::event_log& events_;
     // Called when a nested request, which a target of this host makes while it runs another
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,6 +53,13 @@
     return base::random_id(random);
 }
 
+// Returns the number of bytes that bodies of responses may fill.
+std::size_t response_bytes_limit(const config::settings& settings) {
+    constexpr double bytes_per_mb = 1024 * 1024;
+    return static_cast<std::size_t>(settings.memory_mb_ * bytes_per_mb) /
+           policy::response_memory_divisor;
+}
+
 }  // namespace
 
 node::node(const base::runtime_clock& clock, config::settings settings, environment environment)
@@ -72,7 +79,8 @@
               {settings_.host_, settings_.zone_, settings_.view_bound_ / view_requests_per_bound,
                settings_.strict_freshness_, config::gather_time(settings_) + platform_lead_margin}),
       quota_(clock, configuration_, *this, settings_.host_,
-             {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}) {}
+             {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}),
+      response_memory_{response_bytes_limit(settings_)} {}
 
 // Runs the deferred functions after each step, because a function deferred by a component may still
 // refer to it.
@@ -111,16 +119,18 @@
     drain_timer_ = std::make_unique<net::timer>(*loop_);
     tick_timer_ = std::make_unique<net::timer>(*loop_);
     links_ = std::make_unique<link_pool>(*loop_, identity_, events_, *this);
-    auto created_target_proxy = target_proxy::create(*loop_, settings_, environment_.headers_,
-                                                     identity_, configuration_, events_, *this);
+    auto created_target_proxy =
+        target_proxy::create(*loop_, settings_, environment_.headers_, identity_, configuration_,
+                             response_memory_, events_, *this);
     if (!created_target_proxy) {
         return tl::unexpected(created_target_proxy.error());
     }
     target_proxy_ = std::move(*created_target_proxy);
-    auto created_caller_proxy = caller_proxy::create(
-        {*loop_, settings_, environment_.headers_, identity_, configuration_, quota_, *links_,
-         metrics_, events_, [this] { target_proxy_->record_failed_nested_call(); },
-         [this] { return target_proxy_->repeat_share(); }});
+    auto created_caller_proxy =
+        caller_proxy::create({*loop_, settings_, environment_.headers_, identity_, configuration_,
+                              quota_, *links_, response_memory_, metrics_, events_,
+                              [this] { target_proxy_->record_failed_nested_call(); },
+                              [this] { return target_proxy_->repeat_share(); }});
     if (!created_caller_proxy) {
         return tl::unexpected(created_caller_proxy.error());
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -21,6 +21,7 @@
 #include "observe/event.h"
 #include "observe/metrics.h"
 #include "policy/drain.h"
+#include "policy/response_memory.h"
 
 namespace dandelionridge::node {
 
@@ -89,6 +90,8 @@
     config::hosts_ptr recorded_hosts_;
     control::gossip gossip_;
     control::fleet_quota quota_;
+    // Memory for the bodies of the responses that this host's targets or its callers get.
+    policy::response_memory response_memory_;
     std::unique_ptr<net::event_loop> loop_;
     std::unique_ptr<link_pool> links_;
     std::unique_ptr<target_proxy> target_proxy_;
--- a/src/node/node_admin.cpp
+++ b/src/node/node_admin.cpp
@@ -114,6 +114,8 @@
         {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
         {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
         {"dandelionridge_links", static_cast<double>(links_->size())},
+        {"dandelionridge_response_held_bytes", static_cast<double>(response_memory_.held_)},
+        {"dandelionridge_response_limit_bytes", static_cast<double>(response_memory_.limit_)},
     };
     if (const auto limit = target_proxy_->rate_limit()) {
         gauges.push_back({"dandelionridge_target_rate_limit_per_second", *limit});
--- a/src/node/response_store.cpp
+++ b/src/node/response_store.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-// Maximum total size of the kept bodies.
-constexpr std::size_t max_bytes = 16 * 1024 * 1024;
 constexpr std::size_t max_attempts = 4096;
 
 }  // namespace
 
 bool response_store::should_keep(const target_proxy_attempt& attempt) {
     const collected_response& response = attempt.response();
-    return !attempt.begin().idempotent && response.ended_ && !response.body_discarded_;
+    return !attempt.begin().idempotent && response.ended_ && !response.streaming_;
 }
 
 void response_store::add(std::unique_ptr<target_proxy_attempt> attempt) {
@@ -22,7 +20,7 @@
     const policy::ledger_key key = attempt->key();
     insertion_order_.push_back(key);
     attempts_.emplace(key, std::move(attempt));
-    while (bytes_ > max_bytes || insertion_order_.size() > max_attempts) {
+    while (bytes_ > max_bytes_ || insertion_order_.size() > max_attempts) {
         evict_oldest();
     }
 }
--- a/src/node/response_store.h
+++ b/src/node/response_store.h
@@ -14,6 +14,9 @@
 // Bounded in bytes and in number of attempts; the oldest are evicted first.
 class response_store {
 public:
+    // `max_bytes` bounds the total size of the kept bodies.
+    explicit response_store(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
     // Returns true if the attempt's response has ended, was short enough not to be streamed, and
     // may be requested again, which happens only for non-idempotent attempts.
     static bool should_keep(const target_proxy_attempt& attempt);
@@ -30,8 +33,9 @@
     std::map<policy::ledger_key, std::unique_ptr<target_proxy_attempt>> attempts_;
     // Keys of the kept attempts, oldest first.
     std::deque<policy::ledger_key> insertion_order_;
-    // Total size in bytes of the kept bodies.
+    // Total size in bytes of the kept bodies, and its bound.
     std::size_t bytes_ = 0;
+    std::size_t max_bytes_ = 0;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Part of the memory for responses that those kept for lost links may fill.
+constexpr std::size_t kept_responses_divisor = 4;
+
 constexpr base::duration expiry_interval = base::seconds(60);
 // The records of a caller proxy are evicted after this time without a link, which is far longer
 // than any request may take.
@@ -33,15 +36,18 @@
 
 target_proxy::target_proxy(net::event_loop& loop, const config::settings& settings,
                            const config::header_policy& headers, const link_identity& identity,
-                           const control::configuration& configuration, observe::event_log& events,
+                           const control::configuration& configuration,
+                           policy::response_memory& memory, observe::event_log& events,
                            link_listener& listener)
     : loop_(loop),
       settings_(settings),
       headers_(headers),
       identity_(identity),
       configuration_(configuration),
+      memory_(memory),
       events_(events),
       listener_(listener),
+      responses_(memory.limit_ / kept_responses_divisor),
       expiry_timer_(loop),
       check_timer_(loop),
       random_(base::make_random_engine()) {
@@ -56,9 +62,9 @@
 base::result<std::unique_ptr<target_proxy>> target_proxy::create(
     net::event_loop& loop, const config::settings& settings, const config::header_policy& headers,
     const link_identity& identity, const control::configuration& configuration,
-    observe::event_log& events, link_listener& listener) {
-    std::unique_ptr<target_proxy> proxy(
-        new target_proxy(loop, settings, headers, identity, configuration, events, listener));
+    policy::response_memory& memory, observe::event_log& events, link_listener& listener) {
+    std::unique_ptr<target_proxy> proxy(new target_proxy(loop, settings, headers, identity,
+                                                         configuration, memory, events, listener));
     target_proxy* self = proxy.get();
     auto server = net::frame_server::create(loop, settings.peer_listen_address_, *self,
                                             [self](std::unique_ptr<net::frame_socket> socket) {
@@ -81,6 +87,10 @@
                 {{"request", attempt->begin().request_id},
                  {"target", attempt->begin().target_name},
                  {"run_ms", std::to_string(base::whole_ms(now - attempt->run_started_at()))}});
+        } else if (attempt->ended()) {
+            events_.record(loop_.clock().wall_ms(), "response_cut",
+                           {{"request", attempt->begin().request_id},
+                            {"target", attempt->begin().target_name}});
         }
     }
 }
@@ -175,16 +185,20 @@
 
 // Ends the attempts of a lost link. Queued attempts are recorded as refused and will not run.
 // Running attempts are cancelled if they are idempotent or if part of their request body is
-// missing. Other runs continue, because their requests must not be repeated.
+// missing. Other runs continue, because their requests must not be repeated. The responses of ended
+// runs are kept for the next link, as far as the response store takes them.
 void target_proxy::end_link_attempts(link_key key) {
     std::vector<target_proxy_attempt*> waiting;
     std::vector<target_proxy_attempt*> cancelled;
+    std::vector<target_proxy_attempt*> ended;
     for (auto& [attempt_key, attempt] : attempts_) {
         if (attempt_key.caller_proxy_boot_ != key.caller_proxy_boot_ ||
             attempt_key.attempt_.link_ != key.link_) {
             continue;
         }
-        if (!attempt->running()) {
+        if (attempt->ended()) {
+            ended.push_back(attempt.get());
+        } else if (!attempt->running()) {
             waiting.push_back(attempt.get());
         } else if (attempt->begin().idempotent || attempt->request_body_incomplete()) {
             cancelled.push_back(attempt.get());
@@ -198,6 +212,9 @@
     for (target_proxy_attempt* attempt : cancelled) {
         attempt->cancel();
     }
+    for (target_proxy_attempt* attempt : ended) {
+        finish(*attempt);
+    }
 }
 
 void target_proxy::on_ping(connection& link, const wire::ping& ping) {
@@ -232,6 +249,10 @@
     if (attempt == nullptr) {
         return;
     }
+    if (attempt->ended()) {
+        finish(*attempt);
+        return;
+    }
     if (attempt->running() && !attempt->begin().idempotent) {
         // A non-idempotent run is not interrupted: a partly executed request is worse than one
         // whose response nobody receives.
@@ -319,10 +340,14 @@
 // or a failure if the response is no longer available.
 void target_proxy::reroute_response(const policy::ledger_key& key,
                                     const link_key& requesting_link) {
+    const auto open = attempts_.find(key);
+    if (open != attempts_.end() && open->second->ended()) {
+        finish(*open->second);
+    }
     const auto running = attempts_.find(key);
     if (running != attempts_.end()) {
         // The response is sent when the run ends, unless part of it was streamed already.
-        if (running->second->response().body_discarded_) {
+        if (running->second->response().streaming_) {
             send_to_caller_proxy(*running->second,
                                  make_failure(key.attempt_, wire::failure_reason::answer_lost));
         }
@@ -376,15 +401,16 @@
     }
 }
 
-void target_proxy::send_to_caller_proxy(const target_proxy_attempt& attempt,
+bool target_proxy::send_to_caller_proxy(const target_proxy_attempt& attempt,
                                         const wire::frame& frame) {
     if (attempt.response_discarded()) {
-        return;
+        return false;
     }
     connection* link = find_link({attempt.key().caller_proxy_boot_, attempt.key().attempt_.link_});
     if (link != nullptr) {
         link->socket_->send(frame);
     }
+    return link != nullptr;
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -57,8 +57,8 @@
     static base::result<std::unique_ptr<target_proxy>> create(
         net::event_loop& loop, const config::settings& settings,
         const config::header_policy& headers, const link_identity& identity,
-        const control::configuration& configuration, observe::event_log& events,
-        link_listener& listener);
+        const control::configuration& configuration, policy::response_memory& memory,
+        observe::event_log& events, link_listener& listener);
     target_proxy(const target_proxy&) = delete;
     target_proxy& operator=(const target_proxy&) = delete;
     ~target_proxy() override;
@@ -71,10 +71,10 @@
     // Refuses new attempts from now on and announces that. No effect if it was called before.
     void close();
 
-    // Returns the number of attempts that are queued or running.
+    // Returns the number of attempts that are queued or running or whose response is being sent.
     std::size_t open_attempts() const { return attempts_.size(); }
 
-    // Records the runs that are cut because the process ends.
+    // Records the runs and the responses that are cut because the process ends.
     void record_cut_runs() const;
 
     // Returns true if no link has bytes queued for sending.
@@ -86,11 +86,14 @@
     void on_frame(net::frame_socket& socket, wire::frame&& frame) override;
     void on_closed(net::frame_socket& socket, std::string_view cause) override;
 
-    void send_to_caller_proxy(const target_proxy_attempt& attempt,
+    bool send_to_caller_proxy(const target_proxy_attempt& attempt,
                               const wire::frame& frame) override;
     void on_target_response(const target_proxy_attempt& attempt,
                             const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
+    void on_response_sent(target_proxy_attempt& attempt) override;
+    void on_response_stalled(target_proxy_attempt& attempt) override;
+    void on_memory_short(const target_proxy_attempt& attempt) override;
     void on_wait_expired(target_proxy_attempt& attempt) override;
     void on_connection_dropped(const target_proxy_attempt& attempt,
                                base::duration idle_time) override;
@@ -156,8 +159,8 @@
 
     target_proxy(net::event_loop& loop, const config::settings& settings,
                  const config::header_policy& headers, const link_identity& identity,
-                 const control::configuration& configuration, observe::event_log& events,
-                 link_listener& listener);
+                 const control::configuration& configuration, policy::response_memory& memory,
+                 observe::event_log& events, link_listener& listener);
 
     static control::frame_sender make_reply_sender(const connection& link);
     void on_hello(connection& link, const wire::hello& hello);
@@ -225,6 +228,7 @@
     const config::header_policy& headers_;
     const link_identity& identity_;
     const control::configuration& configuration_;
+    policy::response_memory& memory_;
     observe::event_log& events_;
     link_listener& listener_;
     std::unique_ptr<net::frame_server> server_;
@@ -236,7 +240,7 @@
     std::map<link_key, link_key> successor_links_;
     // Keyed by address.
     std::unordered_map<std::string, target_state> targets_;
-    // Open attempts, queued or running.
+    // Open attempts: queued, running, or with a response that is being sent.
     std::map<policy::ledger_key, std::unique_ptr<target_proxy_attempt>> attempts_;
     response_store responses_;
     // Queued attempts, keyed by queue ID.
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -22,23 +22,35 @@
 // Maximum time without bytes from the target during a streamed response.
 constexpr base::duration body_progress_timeout = base::seconds(10);
 
-// Maximum time without credit from the caller proxy during a streamed response. A longer time means
+// Maximum time without credit from the caller proxy for the rest of a response. A longer time means
 // that the caller does not read.
 constexpr base::duration stalled_caller_timeout = base::seconds(60);
 
+// Maximum number of bytes in one frame of a response's body.
+constexpr std::size_t max_part_bytes = 64 * 1024;
+
+// Credit of a caller proxy that names no window: it accepts a collected response at once.
+constexpr std::int64_t unnamed_window_bytes =
+    max_collected_response_bytes + policy::max_response_window_bytes;
+
 }  // namespace
 
 target_proxy_attempt::target_proxy_attempt(net::event_loop& loop, target_proxy_attempt_owner& owner,
                                            const config::header_policy& headers,
-                                           policy::ledger_key key, wire::attempt_begin begin)
+                                           policy::response_memory& memory, policy::ledger_key key,
+                                           wire::attempt_begin begin)
     : loop_(loop),
       owner_(owner),
       headers_(headers),
       key_(key),
       begin_(std::move(begin)),
       deadline_(loop.clock().now() + base::milliseconds(begin_.deadline_ms)),
-      timeout_timer_(loop) {
+      timeout_timer_(loop),
+      memory_(memory),
+      claim_(memory) {
     request_body_ended_ = !has_request_body();
+    response_credit_bytes_ =
+        begin_.__isset.response_window ? begin_.response_window : unnamed_window_bytes;
 }
 
 void target_proxy_attempt::wait_until(base::instant latest_start) {
@@ -115,6 +127,7 @@
 void target_proxy_attempt::retire() {
     finished_ = true;
     timeout_timer_.cancel();
+    claim_.set(begin_.target_name, 0);
 }
 
 void target_proxy_attempt::on_request_body(const wire::body_part& part) {
@@ -142,9 +155,8 @@
 
 void target_proxy_attempt::on_credit(std::int32_t bytes) {
     response_credit_bytes_ += bytes;
-    if (response_credit_bytes_ > 0 && running() && response_.streaming_) {
-        request_->resume_response();
-        start_timeout(body_progress_timeout);
+    if (response_.streaming_ || finished_) {
+        continue_response();
     }
 }
 
@@ -175,25 +187,100 @@
     owner_.send_to_caller_proxy(*this, frame);
 }
 
-void target_proxy_attempt::send_response_body(std::string_view bytes, bool last, bool complete) {
+// Returns false if no link to the caller proxy is open.
+bool target_proxy_attempt::send_response_body(std::string_view bytes, bool last) {
     wire::frame frame;
     frame.__isset.body_ = true;
     frame.body_.attempt = to_wire(key_.attempt_);
     frame.body_.bytes.assign(bytes);
     frame.body_.last = last;
-    frame.body_.whole = complete;
-    owner_.send_to_caller_proxy(*this, frame);
+    frame.body_.whole = !last || response_.complete_;
+    return owner_.send_to_caller_proxy(*this, frame);
+}
+
+// Sends the next bytes of the body, and its end together with the last of them. Returns false if no
+// link to the caller proxy is open.
+bool target_proxy_attempt::send_response_part(std::size_t max_bytes) {
+    const std::string_view part = std::string_view(response_.body_).substr(sent_bytes_, max_bytes);
+    last_part_sent_ = response_.ended_ && part.size() == unsent_bytes();
+    sent_bytes_ += part.size();
+    return send_response_body(part, last_part_sent_);
+}
+
+// Sends as much of the response's body as the caller proxy accepts.
+void target_proxy_attempt::send_with_credit() {
+    while (response_credit_bytes_ > 0 && unsent_bytes() > 0) {
+        const auto credit = static_cast<std::size_t>(response_credit_bytes_);
+        const std::size_t sent_before = sent_bytes_;
+        const bool linked = send_response_part(std::min(max_part_bytes, credit));
+        response_credit_bytes_ -= static_cast<std::int64_t>(sent_bytes_ - sent_before);
+        if (!linked && finished_) {
+            // The response is sent again if the caller proxy asks for it on another link.
+            last_part_sent_ = true;
+            return;
+        }
+    }
+    if (response_.ended_ && unsent_bytes() == 0 && !last_part_sent_) {
+        send_response_part(0);
+    }
+    if (response_.streaming_) {
+        release_sent_bytes();
+    }
+    update_claim();
+}
+
+void target_proxy_attempt::release_sent_bytes() {
+    response_.body_.erase(0, std::exchange(sent_bytes_, 0));
+    if (response_.body_.size() < response_.body_.capacity() / 2) {
+        response_.body_.shrink_to_fit();
+    }
+}
+
+// Sends what the caller proxy accepts by now, and reads on or ends the attempt once all is sent.
+void target_proxy_attempt::continue_response() {
+    send_with_credit();
+    if (running()) {
+        update_reading();
+    } else if (last_part_sent_ || response_discarded_) {
+        timeout_timer_.cancel();
+        owner_.on_response_sent(*this);
+    } else {
+        start_stall_timeout();
+    }
+}
+
+// Reads on while all that was received of a streamed response is sent.
+void target_proxy_attempt::update_reading() {
+    if (unsent_bytes() > 0) {
+        request_->pause_response();
+        start_timeout(stalled_caller_timeout);
+    } else {
+        request_->resume_response();
+        start_timeout(body_progress_timeout);
+    }
+}
+
+void target_proxy_attempt::start_stall_timeout() {
+    timeout_timer_.start(stalled_caller_timeout, [this] { owner_.on_response_stalled(*this); });
+}
+
+// Returns true if the target holds as much memory as it may, and this response more than it may in
+// any case.
+bool target_proxy_attempt::exceeds_memory_share() const {
+    return claim_.bytes() > policy::min_response_bytes &&
+           policy::available_to(memory_, begin_.target_name) == 0;
+}
+
+void target_proxy_attempt::update_claim() {
+    claim_.set(begin_.target_name, response_.body_.capacity());
 }
 
 // Switches to streaming because the response is too long to be collected, and sends what was
 // collected so far.
 void target_proxy_attempt::begin_streaming() {
     response_.streaming_ = true;
-    response_.body_discarded_ = true;
     send_response_head();
-    send_response_body(std::exchange(response_.body_, {}), false, true);
-    response_credit_bytes_ = response_window_bytes;
-    start_timeout(body_progress_timeout);
+    continue_response();
 }
 
 void target_proxy_attempt::stream_or_end() {
@@ -201,26 +288,23 @@
         begin_streaming();
         return;
     }
+    if (exceeds_memory_share()) {
+        owner_.on_memory_short(*this);
+    }
     request_->detach();
     end(attempt_result::invalid_response);
 }
 
 void target_proxy_attempt::on_response_body(std::string_view bytes) {
-    if (!response_.streaming_) {
-        response_.body_ += bytes;
-        if (response_.body_.size() > max_collected_response_bytes) {
-            stream_or_end();
-        }
+    response_.body_ += bytes;
+    if (response_.streaming_) {
+        continue_response();
         return;
     }
-    response_credit_bytes_ -= static_cast<std::int64_t>(bytes.size());
-    if (response_credit_bytes_ <= 0) {
-        request_->pause_response();
-        start_timeout(stalled_caller_timeout);
-    } else {
-        start_timeout(body_progress_timeout);
+    update_claim();
+    if (response_.body_.size() > max_collected_response_bytes || exceeds_memory_share()) {
+        stream_or_end();
     }
-    send_response_body(bytes, false, true);
 }
 
 bool target_proxy_attempt::has_header(std::string_view name) const {
@@ -260,19 +344,17 @@
            !lacks_request_id();
 }
 
-void target_proxy_attempt::send_collected_response() {
+// Names the length of a collected response that has none.
+void target_proxy_attempt::set_response_length() {
     if (!response_.head_.__isset.length && begin_.method != "HEAD") {
         response_.head_.__set_length(static_cast<std::int64_t>(response_.body_.size()));
     }
-    send_response_head();
-    send_response_body(response_.body_, true, true);
 }
 
 void target_proxy_attempt::on_end(bool complete) {
     response_.ended_ = true;
     response_.complete_ = complete;
     if (response_.streaming_) {
-        send_response_body({}, true, complete);
         end(attempt_result::responded);
         return;
     }
@@ -305,11 +387,16 @@
 }
 
 bool target_proxy_attempt::resend_response() {
-    const bool available = response_.ended_ && valid_response() && !response_.body_discarded_;
-    if (available) {
-        send_collected_response();
+    const bool available = response_.ended_ && valid_response() && !response_.streaming_;
+    if (!available) {
+        return false;
     }
-    return available;
+    send_response_head();
+    sent_bytes_ = 0;
+    do {
+        send_response_part(max_part_bytes);
+    } while (unsent_bytes() > 0);
+    return true;
 }
 
 void target_proxy_attempt::end(attempt_result result) {
@@ -320,9 +407,14 @@
     timeout_timer_.cancel();
     // Called before the response is sent, so that the report sent with it counts this run as ended.
     owner_.on_run_ended(*this, result);
-    if (result == attempt_result::responded && !response_.streaming_) {
-        send_collected_response();
+    if (result != attempt_result::responded) {
+        return;
+    }
+    if (!response_.streaming_) {
+        set_response_length();
+        send_response_head();
     }
+    continue_response();
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -2,7 +2,8 @@
 //
 // The response is collected before it is sent to the caller proxy, so that an incomplete or invalid
 // one can still be reported as a failure that the caller proxy may retry. Only a response that
-// grows beyond a bound is streamed, and only if it is not known to be invalid.
+// grows beyond a bound, or for which memory is short, is streamed, and only if it is not known to
+// be invalid. Either way the body is sent by the caller proxy's credit.
 #pragma once
 
 #include <algorithm>
@@ -15,13 +16,11 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "policy/attempt_ledger.h"
+#include "policy/response_memory.h"
 #include "wire/gen/fleet_types.h"
 
 namespace dandelionridge::node {
 
-// Maximum number of bytes of a streamed response body that may be in flight to the caller proxy.
-inline constexpr std::int64_t response_window_bytes = 256 * 1024;
-
 // Maximum number of bytes of a request body that may be in flight to the target proxy.
 inline constexpr std::int64_t request_window_bytes = 64 * 1024;
 
@@ -52,18 +51,29 @@
 public:
     virtual ~target_proxy_attempt_owner() = default;
 
-    // Sends a frame to the attempt's caller proxy. Does nothing if no link to it is open.
-    virtual void send_to_caller_proxy(const target_proxy_attempt& attempt,
+    // Sends a frame to the attempt's caller proxy. Returns false if no link to it is open.
+    virtual bool send_to_caller_proxy(const target_proxy_attempt& attempt,
                                       const wire::frame& frame) = 0;
 
     // Called when the head of the target's response has arrived.
     virtual void on_target_response(const target_proxy_attempt& attempt,
                                     const net::http_response& response) = 0;
 
-    // Called when the run has ended. The attempt may be destroyed after this call, but not during
-    // it.
+    // Called when the run has ended. Unless it ended with a response, the attempt may be destroyed
+    // after this call, but not during it.
     virtual void on_run_ended(target_proxy_attempt& attempt, attempt_result result) = 0;
 
+    // Called when a run has ended with a response and all of that was sent, or nobody wants it. The
+    // attempt may be destroyed after this call, but not during it.
+    virtual void on_response_sent(target_proxy_attempt& attempt) = 0;
+
+    // Called when the caller proxy has given no credit for the rest of the response for a long
+    // time. The attempt may be destroyed after this call, but not during it.
+    virtual void on_response_stalled(target_proxy_attempt& attempt) = 0;
+
+    // Called when a response that cannot be streamed holds more than its target may.
+    virtual void on_memory_short(const target_proxy_attempt& attempt) = 0;
+
     // Called when the attempt has waited for a slot until its latest start.
     virtual void on_wait_expired(target_proxy_attempt& attempt) = 0;
 
@@ -78,22 +88,21 @@
 // The part of a response received so far.
 struct collected_response {
     wire::answer_head head_;
+    // The body, or, once it is streamed, the part of it that is not sent yet.
     std::string body_;
     bool head_received_ = false;
     bool ended_ = false;
     bool complete_ = false;
     // True once the response is streamed: the head was sent, and body bytes are forwarded as they
-    // arrive.
+    // arrive and not kept.
     bool streaming_ = false;
-    // True once part of the body was streamed; `body_` no longer holds that part.
-    bool body_discarded_ = false;
 };
 
 class target_proxy_attempt final : public net::http_client_events {
 public:
     target_proxy_attempt(net::event_loop& loop, target_proxy_attempt_owner& owner,
-                         const config::header_policy& headers, policy::ledger_key key,
-                         wire::attempt_begin begin);
+                         const config::header_policy& headers, policy::response_memory& memory,
+                         policy::ledger_key key, wire::attempt_begin begin);
     target_proxy_attempt(const target_proxy_attempt&) = delete;
     target_proxy_attempt& operator=(const target_proxy_attempt&) = delete;
     ~target_proxy_attempt() override = default;
@@ -111,14 +120,15 @@
     // Ends the run by closing the connection to the target.
     void cancel();
 
-    // Stops the timer, so that it no longer calls the owner. Called when the target proxy removes
-    // the attempt.
+    // Stops the timer, so that it no longer calls the owner, and gives back the claimed memory.
+    // Called when the target proxy removes the attempt.
     void retire();
 
     void on_request_body(const wire::body_part& part);
     void on_credit(std::int32_t bytes);
 
-    // Sends the response again. Returns false if the complete response is not available.
+    // Sends the response again, at once and whole. Returns false if the complete response is not
+    // available.
     bool resend_response();
 
     // Returns true while the last part of the request body has not arrived. If the link is lost
@@ -138,7 +148,10 @@
     const policy::ledger_key& key() const { return key_; }
     const wire::attempt_begin& begin() const { return begin_; }
     const collected_response& response() const { return response_; }
-    bool running() const { return request_ != nullptr; }
+    // Returns true from the start of the run to its end.
+    bool running() const { return request_ != nullptr && !finished_; }
+    // Returns true once the run has ended. Part of its response may still have to be sent.
+    bool ended() const { return finished_; }
     bool expired() const;
     base::instant deadline() const { return deadline_; }
     base::instant run_started_at() const { return run_started_at_; }
@@ -159,8 +172,17 @@
     void begin_streaming();
     void stream_or_end();
     void send_response_head();
-    void send_response_body(std::string_view bytes, bool last, bool complete);
-    void send_collected_response();
+    bool send_response_body(std::string_view bytes, bool last);
+    bool send_response_part(std::size_t max_bytes);
+    void send_with_credit();
+    void continue_response();
+    void update_reading();
+    void start_stall_timeout();
+    std::size_t unsent_bytes() const { return response_.body_.size() - sent_bytes_; }
+    bool exceeds_memory_share() const;
+    void release_sent_bytes();
+    void update_claim();
+    void set_response_length();
     void end(attempt_result result);
     // Returns true if the response is successful but lacks the header that proves that the target
     // made it.
@@ -183,7 +205,7 @@
     base::instant deadline_;
     base::instant run_started_at_{};
     // Expires at the latest start while the attempt waits, and shortly after the deadline while it
-    // runs. Once the response is streamed, expires when it makes no progress.
+    // runs. Once the response is sent, expires when it makes no progress.
     net::timer timeout_timer_;
     net::http_client_pool* pool_ = nullptr;
     std::unique_ptr<net::http_client_request> request_;
@@ -192,8 +214,13 @@
     std::string unsent_request_body_;
     bool request_left_host_ = false;
     bool request_body_ended_ = true;
-    // Body bytes of a streamed response that may still be sent without further credit.
-    std::int64_t response_credit_bytes_ = response_window_bytes;
+    const policy::response_memory& memory_;
+    policy::memory_claim claim_;
+    // Body bytes of the response that may still be sent without further credit.
+    std::int64_t response_credit_bytes_ = 0;
+    // Bytes of `response_.body_` that were sent, from its beginning.
+    std::size_t sent_bytes_ = 0;
+    bool last_part_sent_ = false;
     std::uint64_t queue_id_ = 0;
     // Address of the target, as text; the key of its state in the target proxy.
     std::string target_key_;
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -236,8 +236,8 @@
 void target_proxy::enqueue(const std::string& target_key, policy::ledger_key key,
                            policy::waiting_request waiting, wire::attempt_begin&& begin) {
     waiting.id_ = next_queue_id_++;
-    auto attempt =
-        std::make_unique<target_proxy_attempt>(loop_, *this, headers_, key, std::move(begin));
+    auto attempt = std::make_unique<target_proxy_attempt>(loop_, *this, headers_, memory_, key,
+                                                          std::move(begin));
     attempt->set_queue_id(waiting.id_);
     attempt->set_target_key(target_key);
     attempt->wait_until(policy::latest_start(waiting));
@@ -332,6 +332,25 @@
     send_to_caller_proxy(attempt, frame);
 }
 
+void target_proxy::on_response_sent(target_proxy_attempt& attempt) {
+    finish(attempt);
+}
+
+void target_proxy::on_response_stalled(target_proxy_attempt& attempt) {
+    send_to_caller_proxy(attempt,
+                         make_failure(attempt.key().attempt_, wire::failure_reason::answer_lost));
+    finish(attempt);
+}
+
+void target_proxy::on_memory_short(const target_proxy_attempt& attempt) {
+    events_.record(loop_.clock().wall_ms(), "response_too_large",
+                   {{"request", attempt.begin().request_id},
+                    {"target", attempt.begin().target_name},
+                    {"bytes", std::to_string(attempt.response().body_.size())},
+                    {"held_bytes", std::to_string(memory_.held_)},
+                    {"limit_bytes", std::to_string(memory_.limit_)}});
+}
+
 void target_proxy::on_wait_expired(target_proxy_attempt& attempt) {
     remove_from_queue(attempt);
     refuse(attempt, wire::refusal_reason::deadline);
@@ -357,9 +376,11 @@
     record_run(targets_[target_key], attempt, result);
     switch (result) {
         case attempt_result::responded:
+            // The attempt stays open until its response is sent.
             ++counters_.responses_;
             policy::end_attempt(ledger_, key);
-            break;
+            dispatch_waiting(target_key);
+            return;
         case attempt_result::not_run:
             refuse(attempt, wire::refusal_reason::target_unreachable);
             dispatch_waiting(target_key);
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -110,6 +110,8 @@
     // Rate limit of the target according to the report that the caller proxy received last. A target
     // proxy that was restarted applies it until the target's first response.
     24: optional double target_rate_limit
+    // Number of bytes of the response's body that may be in flight to the caller proxy.
+    25: optional i32 response_window
 }
 
 struct body_part {
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -1441,6 +1441,11 @@
   this->target_rate_limit = val;
 __isset.target_rate_limit = true;
 }
+
+void attempt_begin::__set_response_window(const int32_t val) {
+  this->response_window = val;
+__isset.response_window = true;
+}
 std::ostream& operator<<(std::ostream& out, const attempt_begin& obj)
 {
   obj.printTo(out);
@@ -1673,6 +1678,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->response_window);
+          this->__isset.response_window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1796,6 +1809,11 @@
     xfer += oprot->writeDouble(this->target_rate_limit);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.response_window) {
+    xfer += oprot->writeFieldBegin("response_window", ::apache::thrift::protocol::T_I32, 25);
+    xfer += oprot->writeI32(this->response_window);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1827,6 +1845,7 @@
   swap(a.download, b.download);
   swap(a.repeat, b.repeat);
   swap(a.target_rate_limit, b.target_rate_limit);
+  swap(a.response_window, b.response_window);
   swap(a.__isset, b.__isset);
 }
 
@@ -1855,6 +1874,7 @@
   download = other36.download;
   repeat = other36.repeat;
   target_rate_limit = other36.target_rate_limit;
+  response_window = other36.response_window;
   __isset = other36.__isset;
 }
 attempt_begin::attempt_begin(attempt_begin&& other37) noexcept {
@@ -1882,6 +1902,7 @@
   download = other37.download;
   repeat = other37.repeat;
   target_rate_limit = other37.target_rate_limit;
+  response_window = other37.response_window;
   __isset = other37.__isset;
 }
 attempt_begin& attempt_begin::operator=(const attempt_begin& other38) {
@@ -1909,6 +1930,7 @@
   download = other38.download;
   repeat = other38.repeat;
   target_rate_limit = other38.target_rate_limit;
+  response_window = other38.response_window;
   __isset = other38.__isset;
   return *this;
 }
@@ -1937,6 +1959,7 @@
   download = other39.download;
   repeat = other39.repeat;
   target_rate_limit = other39.target_rate_limit;
+  response_window = other39.response_window;
   __isset = other39.__isset;
   return *this;
 }
@@ -1967,6 +1990,7 @@
   out << ", " << "download=" << to_string(download);
   out << ", " << "repeat=" << to_string(repeat);
   out << ", " << "target_rate_limit="; (__isset.target_rate_limit ? (out << to_string(target_rate_limit)) : (out << "<null>"));
+  out << ", " << "response_window="; (__isset.response_window ? (out << to_string(response_window)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -578,7 +578,7 @@
 std::ostream& operator<<(std::ostream& out, const welcome& obj);
 
 typedef struct _attempt_begin__isset {
-  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false), repeat(false), target_rate_limit(false) {}
+  _attempt_begin__isset() : attempt(false), guard_boot(false), request_id(false), organisation(false), key_id(false), rules_version(false), service_name(false), target_name(false), method(false), path(false), headers(false), body_length(false), deadline_ms(false), idempotent(false), caller_service(false), objective_ms(false), priority(false), nested(false), may_wait(false), allow_ejected(false), chunked_body(false), download(false), repeat(false), target_rate_limit(false), response_window(false) {}
   bool attempt :1;
   bool guard_boot :1;
   bool request_id :1;
@@ -603,6 +603,7 @@
   bool download :1;
   bool repeat :1;
   bool target_rate_limit :1;
+  bool response_window :1;
 } _attempt_begin__isset;
 
 class attempt_begin : public virtual ::apache::thrift::TBase {
@@ -634,7 +635,8 @@
                   chunked_body(0),
                   download(0),
                   repeat(0),
-                  target_rate_limit(0) {
+                  target_rate_limit(0),
+                  response_window(0) {
   }
 
   virtual ~attempt_begin() noexcept;
@@ -662,6 +664,7 @@
   bool download;
   bool repeat;
   double target_rate_limit;
+  int32_t response_window;
 
   _attempt_begin__isset __isset;
 
@@ -713,6 +716,8 @@
 
   void __set_target_rate_limit(const double val);
 
+  void __set_response_window(const int32_t val);
+
   bool operator == (const attempt_begin & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -767,6 +772,10 @@
       return false;
     else if (__isset.target_rate_limit && !(target_rate_limit == rhs.target_rate_limit))
       return false;
+    if (__isset.response_window != rhs.__isset.response_window)
+      return false;
+    else if (__isset.response_window && !(response_window == rhs.response_window))
+      return false;
     return true;
   }
   bool operator != (const attempt_begin &rhs) const {
--- a/tests/process_faulty_target_test.cpp
+++ b/tests/process_faulty_target_test.cpp
@@ -1,5 +1,15 @@
 // Targets that write bytes which are no response to the request that waits, on the users' platform.
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
 
 #include "support/plans.h"
 #include "support/store_fleet.h"
@@ -11,6 +21,69 @@
 // Far more than a process needs to collect one response, far less than an endless one fills.
 constexpr std::size_t max_growth_bytes = 24 * 1024 * 1024;
 
+// Memory that a process may use, in megabytes, where many requests meet a faulty target at once.
+constexpr std::size_t memory_mb = 96;
+
+// Callers that each send one request on a connection of their own, and read its response or not.
+class callers_at_once {
+public:
+    callers_at_once(const store_fleet& fleet, const std::string& service, int count, bool read) {
+        for (int i = 0; i < count; ++i) {
+            const auto request =
+                fleet.request_to(service, 1 + i % 2, "many-" + std::to_string(i), "GET");
+            fds_.push_back(send_request(request));
+        }
+        if (read) {
+            reader_ = std::thread([this] { read_all(); });
+        }
+    }
+    callers_at_once(const callers_at_once&) = delete;
+    callers_at_once& operator=(const callers_at_once&) = delete;
+    ~callers_at_once() {
+        stopped_ = true;
+        if (reader_.joinable()) {
+            reader_.join();
+        }
+        for (const int fd : fds_) {
+            close(fd);
+        }
+    }
+
+private:
+    static int send_request(const caller_request& request) {
+        const std::size_t colon = request.url_.find(':');
+        const std::size_t slash = request.url_.find('/');
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(
+            std::stoi(request.url_.substr(colon + 1, slash - colon - 1))));
+        inet_pton(AF_INET, request.url_.substr(0, colon).c_str(), &address.sin_addr);
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+        std::string text = request.method_ + " " + request.url_.substr(slash) + " HTTP/1.1\r\n";
+        for (const std::string& header : request.headers_) {
+            text += header + "\r\n";
+        }
+        text += "\r\n";
+        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+        return fd;
+    }
+
+    void read_all() {
+        std::vector<char> buffer(256 * 1024);
+        while (!stopped_) {
+            for (const int fd : fds_) {
+                static_cast<void>(recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT));
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    }
+
+    std::vector<int> fds_;
+    std::atomic<bool> stopped_ = false;
+    std::thread reader_;
+};
+
 }  // namespace
 
 // Guards against: callers were told "not run, try again" about a request that the target had run,
@@ -56,3 +129,42 @@
     CHECK(wait_for([&] { return fleet.target(1).in_flight() == 0; }));
     CHECK(fleet.host(1).resident_bytes() < bytes_before + max_growth_bytes);
 }
+
+// Guards against: a target sends bytes without end at many requests at once; each of them is
+// bounded, but not all together, and the process runs out of memory and ends the requests of
+// others.
+TEST_CASE("bytes without end at many requests leave memory for the other targets",
+          "[promise-whole-answer]") {
+    struct endless_case {
+        const char* name_;
+        target_mode mode_;
+        bool callers_read_;
+    };
+    const auto test_case = GENERATE(
+        endless_case{"errors", target_mode::endless_error, true},
+        endless_case{"downloads", target_mode::endless_valid_body, true},
+        endless_case{"downloads that nobody reads", target_mode::endless_valid_body, false});
+    INFO(test_case.name_);
+    constexpr int requests = 200;
+    store_fleet fleet({"orders", "patterns"}, requests,
+                      "[limits]\nmemory_mb = " + std::to_string(memory_mb) + "\n");
+    fleet.start_all();
+    fleet.set_target(1, {.mode_ = test_case.mode_});
+    const callers_at_once callers(fleet, "orders", requests, test_case.callers_read_);
+    caller caller;
+    constexpr int sound_requests = 40;
+    for (int i = 0; i < sound_requests; ++i) {
+        const std::string id = "sound-" + std::to_string(i);
+        const auto response = caller.send(fleet.request_to("patterns", 1 + i % 2, id, "GET"));
+        INFO(id);
+        CHECK(response.complete_);
+        CHECK(response.status_ == 200);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    for (const std::size_t host : {1, 2}) {
+        INFO("host " << host);
+        const std::size_t peak = fleet.host(host).peak_resident_bytes();
+        CHECK(peak > 0);
+        CHECK(peak <= memory_mb * 1024 * 1024);
+    }
+}
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -76,4 +76,17 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t process::peak_resident_bytes() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string line;
+    constexpr std::string_view name = "VmHWM:";
+    while (std::getline(status, line)) {
+        if (line.starts_with(name)) {
+            constexpr std::size_t bytes_per_kb = 1024;
+            return std::stoul(line.substr(name.size())) * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
 }  // namespace dandelionridge::support
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -28,6 +28,9 @@
     // Returns the resident memory in bytes.
     std::size_t resident_bytes() const;
 
+    // Returns the highest resident memory so far, in bytes.
+    std::size_t peak_resident_bytes() const;
+
     pid_t pid() const { return pid_; }
 
 private:
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -211,7 +211,8 @@
 
     bool is_endless() const {
         return behaviour_.mode_ == target_mode::endless_body ||
-               behaviour_.mode_ == target_mode::endless_error;
+               behaviour_.mode_ == target_mode::endless_error ||
+               behaviour_.mode_ == target_mode::endless_valid_body;
     }
 
     void begin_endless_body() {
--- a/tests/support/target_stub.h
+++ b/tests/support/target_stub.h
@@ -42,6 +42,8 @@
     endless_body,
     // The same, with status 500.
     endless_error,
+    // The same, in a response that proves that the target made it.
+    endless_valid_body,
 };
 
 struct target_behaviour {
--- a/tests/target_proxy_attempt_test.cpp
+++ b/tests/target_proxy_attempt_test.cpp
@@ -43,7 +43,8 @@
 // The second serves one request, which the test can read.
 class resetting_target {
 public:
-    resetting_target() {
+    explicit resetting_target(std::string response = whole_response)
+        : response_(std::move(response)) {
         listener_ = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -59,6 +60,9 @@
     resetting_target(const resetting_target&) = delete;
     resetting_target& operator=(const resetting_target&) = delete;
     ~resetting_target() {
+        if (!reset_was_requested_) {
+            reset_requested_.set_value(false);
+        }
         shutdown(listener_, SHUT_RDWR);
         thread_.join();
         close(listener_);
@@ -68,7 +72,8 @@
 
     // Resets the first connection. Returns when that is done.
     void reset_first_connection() {
-        reset_requested_.set_value();
+        reset_requested_.set_value(true);
+        reset_was_requested_ = true;
         reset_done_.get_future().wait();
     }
 
@@ -90,18 +95,24 @@
         return text;
     }
 
-    static void respond(int fd) {
-        send(fd, whole_response.data(), whole_response.size(), MSG_NOSIGNAL);
+    void respond(int fd) const { send(fd, response_.data(), response_.size(), MSG_NOSIGNAL); }
+
+    static void reset(int fd) {
+        const linger no_linger{1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+        close(fd);
     }
 
     void serve() {
         const int first = accept(listener_, nullptr, nullptr);
         read_request(first);
         respond(first);
-        reset_requested_.get_future().wait();
-        const linger no_linger{1, 0};
-        setsockopt(first, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
-        close(first);
+        if (reset_requested_.get_future().get()) {
+            reset(first);
+        } else {
+            close(first);
+            return;
+        }
         reset_done_.set_value();
         const int second = accept(listener_, nullptr, nullptr);
         if (second < 0) {
@@ -113,9 +124,12 @@
         close(second);
     }
 
+    std::string response_;
     int listener_ = -1;
     base::address address_;
-    std::promise<void> reset_requested_;
+    // Whether the first connection is to be reset; otherwise it is closed at the end of the test.
+    std::promise<bool> reset_requested_;
+    bool reset_was_requested_ = false;
     std::promise<void> reset_done_;
     std::promise<std::string> second_request_;
     std::thread thread_;
@@ -124,9 +138,10 @@
 // Records what the attempt reports.
 class owner_mock final : public node::target_proxy_attempt_owner {
 public:
-    void send_to_caller_proxy(const node::target_proxy_attempt& /*attempt*/,
+    bool send_to_caller_proxy(const node::target_proxy_attempt& /*attempt*/,
                               const wire::frame& frame) override {
         frames_.push_back(frame);
+        return true;
     }
     void on_target_response(const node::target_proxy_attempt& /*attempt*/,
                             const net::http_response& /*response*/) override {}
@@ -134,6 +149,11 @@
                       node::attempt_result result) override {
         result_ = result;
     }
+    void on_response_sent(node::target_proxy_attempt& /*attempt*/) override { sent_ = true; }
+    void on_response_stalled(node::target_proxy_attempt& /*attempt*/) override {}
+    void on_memory_short(const node::target_proxy_attempt& /*attempt*/) override {
+        memory_short_ = true;
+    }
     void on_wait_expired(node::target_proxy_attempt& /*attempt*/) override {}
     void on_connection_dropped(const node::target_proxy_attempt& /*attempt*/,
                                base::duration /*idle_time*/) override {}
@@ -141,7 +161,19 @@
         return {};
     }
 
+    // Returns the bytes of the response's body that were sent.
+    std::string body() const {
+        std::string bytes;
+        for (const wire::frame& frame : frames_) {
+            bytes += frame.body_.bytes;
+        }
+        return bytes;
+    }
+
     std::vector<wire::frame> frames_;
+    // The whole response of the last run was sent.
+    bool sent_ = false;
+    bool memory_short_ = false;
     // How the last run ended; not set while one is in progress.
     std::optional<node::attempt_result> result_;
 };
@@ -168,7 +200,8 @@
 
     // Leaves an idle connection in the pool.
     void run_first_request() {
-        node::target_proxy_attempt attempt(*loop_, owner_, headers_, {}, make_begin("GET"));
+        node::target_proxy_attempt attempt(*loop_, owner_, headers_, memory_, {},
+                                           make_begin("GET"));
         attempt.run(pool_, base::seconds(60));
         wait_for_end();
         REQUIRE(owner_.result_ == node::attempt_result::responded);
@@ -188,6 +221,7 @@
 
     const base::runtime_clock clock_;
     const config::header_policy headers_;
+    policy::response_memory memory_{64 * 1024 * 1024};
     std::unique_ptr<net::event_loop> loop_;
     owner_mock owner_;
     net::http_client_pool pool_;
@@ -221,7 +255,8 @@
     if (!chunked) {
         begin.__set_body_length(static_cast<std::int64_t>(body.size()));
     }
-    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, {}, begin);
+    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, side.memory_, {},
+                                       begin);
     std::size_t delivered = 0;
     const auto deliver = [&](const std::vector<std::string>& parts) {
         for (const std::string& part : parts) {
@@ -241,3 +276,71 @@
     CHECK(request.body_ == body);
     CHECK(result == node::attempt_result::responded);
 }
+
+// Guards against: a collected response was sent at once, however little the caller proxy had room
+// for, and waited in the memory of the link or of the caller's connection.
+TEST_CASE("a response is sent by the credit of its caller proxy", "[node]") {
+    constexpr std::int32_t window = 3;
+    resetting_target target("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789");
+    target_side side(target.address());
+    wire::attempt_begin begin = make_begin("GET");
+    begin.__set_response_window(window);
+    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, side.memory_, {},
+                                       begin);
+    attempt.run(side.pool_, base::seconds(60));
+    side.wait_for_end();
+    CHECK(side.owner_.result_ == node::attempt_result::responded);
+    CHECK(side.owner_.body() == "012");
+    CHECK_FALSE(side.owner_.sent_);
+    attempt.on_credit(window);
+    CHECK(side.owner_.body() == "012345");
+    CHECK_FALSE(side.owner_.sent_);
+    attempt.on_credit(window + 1);
+    CHECK(side.owner_.body() == "0123456789");
+    CHECK(side.owner_.sent_);
+    CHECK(side.owner_.frames_.back().body_.last);
+    CHECK(side.owner_.frames_.back().body_.whole);
+}
+
+// An older caller proxy names no window and gives no credit before it has the response.
+TEST_CASE("a caller proxy that names no window gets the response at once", "[node]") {
+    resetting_target target("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789");
+    target_side side(target.address());
+    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, side.memory_, {},
+                                       make_begin("GET"));
+    attempt.run(side.pool_, base::seconds(60));
+    side.wait_for_end();
+    CHECK(side.owner_.body() == "0123456789");
+    CHECK(side.owner_.sent_);
+}
+
+TEST_CASE("a response for which memory is short is streamed, an error ends its run", "[node]") {
+    const bool error = GENERATE(false, true);
+    INFO(error);
+    const std::string status = error ? "500 Internal Server Error" : "200 OK";
+    const std::size_t size = 40'000;
+    resetting_target target("HTTP/1.1 " + status + "\r\ncontent-length: " + std::to_string(size) +
+                            "\r\n\r\n" + std::string(size, 'x'));
+    target_side side(target.address());
+    policy::memory_claim others(side.memory_);
+    wire::attempt_begin begin = make_begin("GET");
+    begin.target_name = "t";
+    begin.__set_response_window(1000);
+    others.set(begin.target_name, side.memory_.limit_ / 2);
+    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, side.memory_, {},
+                                       begin);
+    attempt.run(side.pool_, base::seconds(60));
+    if (error) {
+        side.wait_for_end();
+        CHECK(side.owner_.result_ == node::attempt_result::invalid_response);
+        CHECK(side.owner_.frames_.empty());
+        CHECK(side.owner_.memory_short_);
+        return;
+    }
+    while (!side.owner_.sent_) {
+        side.loop_->run_once();
+        attempt.on_credit(1000);
+    }
+    CHECK(side.owner_.result_ == node::attempt_result::responded);
+    CHECK(side.owner_.body() == std::string(size, 'x'));
+}
