Report the body bytes of one read in one piece

A body in chunks of one byte, from a target or a caller, became a frame of some 60 bytes between processes for each byte. Flow control counts one byte of each, so a window of 256 KiB could take 15 MB.

Cause: the reader reported each chunk as the parser found it.

Change: it reports what one read brought in one piece.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -46,6 +46,15 @@
     // Returns true if the message is an interim (1xx) response.
     bool interim() const { return interim_; }
 
+    // Passes on the bytes of the body that were parsed since the last call: in one piece, however
+    // small the chunks are in which they came.
+    void report_body() {
+        const std::string body = std::exchange(body_, {});
+        if (!body.empty()) {
+            events_.on_body_bytes(body);
+        }
+    }
+
 private:
     void on_request_impl(http::verb /*verb*/, beast_string_view method, beast_string_view target,
                          int /*version*/, error_code& /*error*/) override {
@@ -94,7 +103,7 @@
                            error_code& /*error*/) override {}
 
     std::size_t on_body_impl(beast_string_view body, error_code& /*error*/) override {
-        events_.on_body_bytes({body.data(), body.size()});
+        body_.append(body.data(), body.size());
         return body.size();
     }
 
@@ -103,7 +112,7 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast_string_view body,
                                    error_code& /*error*/) override {
-        events_.on_body_bytes({body.data(), body.size()});
+        body_.append(body.data(), body.size());
         return body.size();
     }
 
@@ -112,6 +121,8 @@
     http_reader_events& events_;
     http_request request_;
     http_response response_;
+    // Bytes of the body that are not reported yet.
+    std::string body_;
     bool head_complete_ = false;
     bool interim_ = false;
 };
@@ -147,6 +158,7 @@
                 break;
             }
         }
+        parser_->report_body();
         begun_ = begun_ || !pending_.empty();
         const std::size_t unused = pending_.size() - used;
         if (state_ == read_state::incomplete && unused > limits_.head_bytes_) {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -179,14 +179,19 @@
     std::string outcome_;
 };
 
-// Records whether a reader has read a head.
+// Records whether a reader has read a head, and the pieces in which it reports the body.
 class reader_recorder final : public net::http_reader_events {
 public:
     void on_request_head(net::http_request&& /*request*/) override {}
     void on_response_head(net::http_response&& /*response*/) override { head_received_ = true; }
-    void on_body_bytes(std::string_view /*bytes*/) override {}
+    void on_body_bytes(std::string_view bytes) override {
+        body_ += bytes;
+        ++pieces_;
+    }
 
     bool head_received_ = false;
+    std::string body_;
+    int pieces_ = 0;
 };
 
 // The pieces that the server writes, how it ends the connection, and the outcome and body that the
@@ -378,6 +383,30 @@
     }
 }
 
+// Guards against: a body in chunks of one byte becomes a message between processes for each byte,
+// of which flow control counts only that byte.
+TEST_CASE("a body in small chunks is read in large pieces", "[net][contract]") {
+    std::string message = chunked_head;
+    std::string body;
+    for (int i = 0; i < 10'000; ++i) {
+        const char byte = static_cast<char>('a' + i % 26);
+        message += std::string("1\r\n") + byte + "\r\n";
+        body += byte;
+    }
+    message += "0\r\n\r\n";
+    constexpr std::size_t read_bytes = 4096;
+    reader_recorder recorded;
+    const auto reader = net::make_response_reader(recorded, {}, net::response_body::expected);
+    int reads = 0;
+    for (std::size_t offset = 0; offset < message.size(); offset += read_bytes) {
+        reader->read(std::string_view(message).substr(offset, read_bytes));
+        ++reads;
+    }
+    CHECK(reader->state() == net::read_state::done);
+    CHECK(recorded.body_ == body);
+    CHECK(recorded.pieces_ <= reads);
+}
+
 TEST_CASE("a request to a closed port is reported as never sent", "[net][contract]") {
     const base::runtime_clock clock;
     const auto loop = std::move(net::event_loop::create(clock).value());
