Begin each exchange of a caller's connection with a fresh state

Cause: reading is paused while much of a request's body is unsent. It was resumed after the response only if the body had not ended by then; else the connection stayed paused for the next request. How far an exchange has come was spread over eight members, of which the next request reset three.

Change: that state is one struct, which begin_exchange() replaces; it resumes a paused connection.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -26,8 +26,7 @@
 
 server_connection::server_connection(http_server& server, std::unique_ptr<byte_socket> socket)
     : server_(server), socket_(std::move(socket)), timer_(server.loop_) {
-    begin_message();
-    wait_for_request();
+    begin_exchange();
 }
 
 server_connection::~server_connection() {
@@ -36,10 +35,15 @@
     }
 }
 
-void server_connection::begin_message() {
+// Waits for the next request. Nothing of the exchange that has ended acts on the new one.
+void server_connection::begin_exchange() {
+    if (exchange_.paused_) {
+        resume_body();
+    }
+    exchange_ = {};
     const caller_limits limits = server_.options_.limits_();
     reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
-    body_ended_ = false;
+    wait_for_request();
 }
 
 void server_connection::wait_for_request() {
@@ -70,7 +74,7 @@
         return;
     }
     pending_.append(bytes);
-    if (pending_.size() > max_pending_bytes && handler_ != nullptr && body_ended_) {
+    if (pending_.size() > max_pending_bytes && handler_ != nullptr && exchange_.body_ended_) {
         drop();
         return;
     }
@@ -79,7 +83,7 @@
 
 // Reads the buffered bytes up to the end of the current request.
 void server_connection::read_pending() {
-    if (pending_.empty() || body_ended_) {
+    if (pending_.empty() || exchange_.body_ended_) {
         return;
     }
     if (!reader_->begun()) {
@@ -100,11 +104,11 @@
         case read_state::incomplete:
             return;
         case read_state::done:
-            body_ended_ = true;
-            if (has_body_ && handler_ != nullptr) {
+            exchange_.body_ended_ = true;
+            if (exchange_.has_body_ && handler_ != nullptr) {
                 handler_->on_body_end();
             }
-            if (finished_ && !dropped_) {
+            if (exchange_.finished_ && !dropped_) {
                 finish();
             }
             return;
@@ -142,13 +146,10 @@
 
 void server_connection::on_request_head(http_request&& request) {
     timer_.cancel();
-    method_ = request.method_;
-    has_body_ = request.chunked_ || request.body_length_.value_or(0) > 0;
-    head_sent_ = false;
-    finished_ = false;
-    chunked_ = false;
+    exchange_.method_ = request.method_;
+    exchange_.has_body_ = request.chunked_ || request.body_length_.value_or(0) > 0;
     const std::string* connection = find_header(request.headers_, "connection");
-    close_after_response_ = connection != nullptr && has_token(*connection, "close");
+    exchange_.close_after_response_ = connection != nullptr && has_token(*connection, "close");
     if (find_header(request.headers_, "expect") != nullptr) {
         socket_->send(continue_response);
     }
@@ -162,24 +163,24 @@
 }
 
 void server_connection::on_body_bytes(std::string_view bytes) {
-    if (handler_ != nullptr && !finished_ && !dropped_) {
+    if (handler_ != nullptr && !exchange_.finished_ && !dropped_) {
         handler_->on_body(bytes);
     }
 }
 
 void server_connection::send_head(const http_response& response) {
-    omit_body_ = response_has_no_body(method_, response.status_);
-    chunked_ = !response.length_ && !omit_body_;
-    head_sent_ = true;
-    close_after_response_ = close_after_response_ || server_.closing_;
-    socket_->send(response_head_text(response, close_after_response_, chunked_));
+    exchange_.omit_body_ = response_has_no_body(exchange_.method_, response.status_);
+    exchange_.chunked_ = !response.length_ && !exchange_.omit_body_;
+    exchange_.close_after_response_ = exchange_.close_after_response_ || server_.closing_;
+    socket_->send(
+        response_head_text(response, exchange_.close_after_response_, exchange_.chunked_));
 }
 
 void server_connection::send_body(std::string_view bytes) {
-    if (bytes.empty() || omit_body_) {
+    if (bytes.empty() || exchange_.omit_body_) {
         return;
     }
-    if (!chunked_) {
+    if (!exchange_.chunked_) {
         socket_->send(bytes);
         return;
     }
@@ -187,10 +188,10 @@
 }
 
 void server_connection::finish() {
-    if (!finished_ && chunked_) {
+    if (!exchange_.finished_ && exchange_.chunked_) {
         socket_->send(last_chunk);
     }
-    finished_ = true;
+    exchange_.finished_ = true;
     if (socket_->unsent() == 0) {
         on_sent(0);
     }
@@ -200,38 +201,36 @@
     if (dropped_) {
         return;
     }
-    if (handler_ != nullptr && !finished_) {
+    if (handler_ != nullptr && !exchange_.finished_) {
         handler_->on_sent(bytes);
     }
-    const bool response_sent = finished_ && socket_->unsent() == 0 && !in_factory_;
+    const bool response_sent = exchange_.finished_ && socket_->unsent() == 0 && !in_factory_;
     if (!response_sent || handler_ == nullptr) {
         return;
     }
-    if (close_after_response_) {
+    if (exchange_.close_after_response_) {
         drop();
         return;
     }
-    if (!body_ended_) {
+    if (!exchange_.body_ended_) {
         // The rest of the request's body is read and discarded.
-        if (paused_) {
+        if (exchange_.paused_) {
             resume_body();
         }
         return;
     }
     end_exchange();
-    finished_ = false;
-    begin_message();
-    wait_for_request();
+    begin_exchange();
     read_pending();
 }
 
 void server_connection::pause_body() {
-    paused_ = true;
+    exchange_.paused_ = true;
     socket_->pause();
 }
 
 void server_connection::resume_body() {
-    paused_ = false;
+    exchange_.paused_ = false;
     socket_->resume();
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -45,7 +45,23 @@
     void resume_body() override;
 
 private:
-    void begin_message();
+    // How far one request and its response have come.
+    struct exchange_state {
+        std::string method_;
+        bool has_body_ = false;
+        // The whole request has been read.
+        bool body_ended_ = false;
+        // Reading is paused by the handler.
+        bool paused_ = false;
+        bool chunked_ = false;
+        // The response must not have a body.
+        bool omit_body_ = false;
+        // The handler has ended the response. Bytes of it may still be unsent.
+        bool finished_ = false;
+        bool close_after_response_ = false;
+    };
+
+    void begin_exchange();
     void read_pending();
     void handle_reader_state();
     void refuse(int status, std::string_view message);
@@ -61,20 +77,9 @@
     // current one is sent.
     std::string pending_;
     std::unique_ptr<http_handler> handler_;
-    std::string method_;
-    bool has_body_ = false;
-    // The whole current request has been read.
-    bool body_ended_ = false;
-    bool paused_ = false;
+    exchange_state exchange_;
     // The handler is being created.
     bool in_factory_ = false;
-    bool head_sent_ = false;
-    bool chunked_ = false;
-    // The response must not have a body.
-    bool omit_body_ = false;
-    // The handler has ended the response. Bytes of it may still be unsent.
-    bool finished_ = false;
-    bool close_after_response_ = false;
     bool dropped_ = false;
     // An error response was sent because the request cannot be read; further bytes are discarded.
     bool refused_ = false;
