Break a response off that is not framed as its head declares

Cause: end_without_retry() did not ask whether the response had begun, and nothing below it kept a response to one head and its declared length.

Change: the server's connection does. A second head, a body without a head, and more or fewer bytes than declared break the connection off, count as a broken answer and log response_broken_off. The call aborts a response that has begun instead of refusing it. The stand-in of targets, which plays faulty servers, turns the check off.

--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,7 +38,9 @@
     virtual void on_sent(std::size_t bytes) = 0;
 };
 
-// One request on one connection, and the response to it. Valid for the lifetime of its handler.
+// One request on one connection, and the response to it. Valid for the lifetime of its handler. A
+// response is one head, then exactly as many bytes as it declares, then its end; anything else
+// breaks the connection off.
 class http_exchange {
 public:
     http_exchange(const http_exchange&) = delete;
@@ -86,6 +88,11 @@
     base::address address_;
     // Returns the limits in force. Called anew for each request.
     std::function<caller_limits()> limits_ = [] { return caller_limits{}; };
+    // Called with what is wrong when a handler sends a response that is not framed as its head
+    // declares. The connection is broken off, so that no caller takes it for a whole response.
+    std::function<void(std::string_view)> on_framing_error_ = [](std::string_view) {};
+    // False: sends whatever the handlers do. For stand-ins that play a faulty server.
+    bool checks_framing_ = true;
 };
 
 // Listens for connections and creates a handler for each request. Runs on the loop's thread.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/http_writer.h"
@@ -168,8 +169,25 @@
     }
 }
 
+// Breaks the connection off because of what a handler does. Returns false if that is not checked.
+bool server_connection::breaks_framing(std::string_view error) {
+    if (!server_.options_.checks_framing_) {
+        return false;
+    }
+    if (!dropped_) {
+        server_.options_.on_framing_error_(error);
+        drop();
+    }
+    return true;
+}
+
 void server_connection::send_head(const http_response& response) {
+    if (exchange_.head_sent_ && breaks_framing("a second head")) {
+        return;
+    }
+    exchange_.head_sent_ = true;
     exchange_.omit_body_ = response_has_no_body(exchange_.method_, response.status_);
+    exchange_.body_left_ = exchange_.omit_body_ ? std::nullopt : response.length_;
     exchange_.chunked_ = !response.length_ && !exchange_.omit_body_;
     exchange_.close_after_response_ = exchange_.close_after_response_ || server_.closing_;
     socket_->send(
@@ -180,7 +198,15 @@
     if (bytes.empty() || exchange_.omit_body_) {
         return;
     }
+    if (!exchange_.head_sent_ && breaks_framing("a body without a head")) {
+        return;
+    }
     if (!exchange_.chunked_) {
+        const std::uint64_t left = exchange_.body_left_.value_or(0);
+        if (bytes.size() > left && breaks_framing("more bytes than declared")) {
+            return;
+        }
+        exchange_.body_left_ = left - std::min<std::uint64_t>(left, bytes.size());
         socket_->send(bytes);
         return;
     }
@@ -188,6 +214,10 @@
 }
 
 void server_connection::finish() {
+    const bool incomplete = !exchange_.head_sent_ || exchange_.body_left_.value_or(0) > 0;
+    if (incomplete && breaks_framing("fewer bytes than declared")) {
+        return;
+    }
     if (!exchange_.finished_ && exchange_.chunked_) {
         socket_->send(last_chunk);
     }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -1,6 +1,7 @@
 // One connection of a caller. Processes its requests one after the other and sends the responses.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,7 +54,11 @@
         bool body_ended_ = false;
         // Reading is paused by the handler.
         bool paused_ = false;
+        bool head_sent_ = false;
         bool chunked_ = false;
+        // Bytes of the response's body that its head declares and that are not sent yet; not set
+        // for a body without a length.
+        std::optional<std::uint64_t> body_left_;
         // The response must not have a body.
         bool omit_body_ = false;
         // The handler has ended the response. Bytes of it may still be unsent.
@@ -66,6 +71,7 @@
     void handle_reader_state();
     void refuse(int status, std::string_view message);
     void end_exchange();
+    bool breaks_framing(std::string_view error);
     void wait_for_request();
 
     http_server& server_;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -395,7 +395,9 @@
 }
 
 void call::end_without_retry(policy::retry_decision decision, filter::reason reason) {
-    if (held_failure_) {
+    if (head_sent_) {
+        abort_response();
+    } else if (held_failure_) {
         forward_held_failure();
     } else if (decision == policy::retry_decision::refuse_not_run && !may_have_run_) {
         refuse_not_run(reason);
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -74,6 +74,12 @@
     net::http_server_options options;
     options.address_ = self->dependencies_.settings_.caller_listen_address_;
     options.limits_ = [self] { return self->make_caller_limits(); };
+    options.on_framing_error_ = [self](std::string_view error) {
+        caller_proxy_dependencies& used = self->dependencies_;
+        used.metrics_.count_broken_response();
+        used.events_.record(used.loop_.clock().wall_ms(), "response_broken_off",
+                            {{"cause", std::string(error)}});
+    };
     auto server = net::http_server::create(
         self->dependencies_.loop_, std::move(options),
         [self](net::http_exchange& exchange, net::http_request request) {
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "net/http_server.h"
 
@@ -51,6 +52,7 @@
         : loop_(std::move(net::event_loop::create(clock_).value())) {
         net::http_server_options options;
         options.address_ = free_address();
+        options.on_framing_error_ = [this](std::string_view /*error*/) { ++broken_off_; };
         server_ = std::move(
             net::http_server::create(
                 *loop_, options,
@@ -90,6 +92,9 @@
         return received;
     }
 
+    // Returns how many responses the server has broken off.
+    int broken_off() const { return broken_off_; }
+
     // True once the server has closed the connection.
     bool closed() const { return closed_; }
 
@@ -117,6 +122,7 @@
     std::unique_ptr<net::http_server> server_;
     int fd_ = -1;
     bool closed_ = false;
+    int broken_off_ = 0;
 };
 
 const std::string get_request = "GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
@@ -135,6 +141,66 @@
 
 }  // namespace
 
+// Guards against: an error of a handler puts bytes of another response into a body, or ends a body
+// early so that the caller waits for the rest or takes the next response for it (MIXED).
+TEST_CASE("a response that is not framed as declared breaks its connection off",
+          "[net][contract]") {
+    struct framing_case {
+        const char* name_;
+        std::string body_;
+        reaction react_;
+    };
+    const auto second_head = [](net::http_exchange& exchange) {
+        exchange.send_head(response_of(100));
+        exchange.send_body("part");
+        net::send_response(exchange, response_of({}), "refusal");
+    };
+    const auto too_long = [](net::http_exchange& exchange) {
+        exchange.send_head(response_of(4));
+        exchange.send_body("body");
+        exchange.send_body("surplus");
+        exchange.finish();
+    };
+    const auto too_short = [](net::http_exchange& exchange) {
+        exchange.send_head(response_of(100));
+        exchange.send_body("part");
+        exchange.finish();
+    };
+    const auto no_head = [](net::http_exchange& exchange) { exchange.send_body("body"); };
+    const std::vector<framing_case> cases = {{"a second head", "part", second_head},
+                                             {"more bytes than declared", "body", too_long},
+                                             {"fewer bytes than declared", "part", too_short},
+                                             {"a body without a head", "", no_head}};
+    const framing_case test_case = GENERATE_COPY(from_range(cases));
+    INFO(test_case.name_);
+    server_side side(test_case.react_);
+    side.send_request(get_request);
+    const std::string received = side.receive_until("");
+    CHECK(side.closed());
+    const std::size_t head_end = received.find("\r\n\r\n");
+    const std::string body = head_end == std::string::npos ? "" : received.substr(head_end + 4);
+    // Bytes that were not sent yet may be lost with the connection.
+    CHECK(test_case.body_.starts_with(body));
+    CHECK(side.broken_off() == 1);
+}
+
+TEST_CASE("responses without a body need no bytes", "[net][contract]") {
+    const std::string method = GENERATE("GET", "HEAD");
+    const int status = method == "GET" ? 304 : 200;
+    server_side side([status](net::http_exchange& exchange) {
+        net::http_response response = response_of(100);
+        response.status_ = status;
+        exchange.send_head(response);
+        exchange.finish();
+    });
+    for (int i = 0; i < 2; ++i) {
+        side.send_request(method + " /x HTTP/1.1\r\nhost: h\r\n\r\n");
+        CHECK(side.receive_until("\r\n\r\n").ends_with("\r\n\r\n"));
+    }
+    CHECK_FALSE(side.closed());
+    CHECK(side.broken_off() == 0);
+}
+
 // Guards against: a caller's connection is never read again after a request whose body was paused,
 // and its next request gets no response (CONFIG).
 TEST_CASE("a connection whose request body was paused is read for the next request",
--- a/tests/process_faulty_target_test.cpp
+++ b/tests/process_faulty_target_test.cpp
@@ -1,17 +1,13 @@
 // Targets that write bytes which are no response to the request that waits, on the users' platform.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <list>
 #include <string>
 #include <thread>
-#include <vector>
 
 #include "support/plans.h"
+#include "support/raw_caller.h"
 #include "support/store_fleet.h"
 
 using namespace dandelionridge::support;
@@ -31,7 +27,7 @@
         for (int i = 0; i < count; ++i) {
             const auto request =
                 fleet.request_to(service, 1 + i % 2, "many-" + std::to_string(i), "GET");
-            fds_.push_back(send_request(request));
+            callers_.emplace_back(request);
         }
         if (read) {
             reader_ = std::thread([this] { read_all(); });
@@ -44,42 +40,19 @@
         if (reader_.joinable()) {
             reader_.join();
         }
-        for (const int fd : fds_) {
-            close(fd);
-        }
     }
 
 private:
-    static int send_request(const caller_request& request) {
-        const std::size_t colon = request.url_.find(':');
-        const std::size_t slash = request.url_.find('/');
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(static_cast<std::uint16_t>(
-            std::stoi(request.url_.substr(colon + 1, slash - colon - 1))));
-        inet_pton(AF_INET, request.url_.substr(0, colon).c_str(), &address.sin_addr);
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
-        std::string text = request.method_ + " " + request.url_.substr(slash) + " HTTP/1.1\r\n";
-        for (const std::string& header : request.headers_) {
-            text += header + "\r\n";
-        }
-        text += "\r\n";
-        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-        return fd;
-    }
-
     void read_all() {
-        std::vector<char> buffer(256 * 1024);
         while (!stopped_) {
-            for (const int fd : fds_) {
-                static_cast<void>(recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT));
+            for (const raw_caller& caller : callers_) {
+                caller.discard_received();
             }
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
         }
     }
 
-    std::vector<int> fds_;
+    std::list<raw_caller> callers_;
     std::atomic<bool> stopped_ = false;
     std::thread reader_;
 };
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "support/plans.h"
+#include "support/raw_caller.h"
 
 using namespace dandelionridge::support;
 
@@ -57,6 +58,36 @@
     CHECK(caller.send(order_request(fleet, "h1", "next", "GET")).complete_);
 }
 
+// Guards against: a download broke off after its key was withdrawn, and the host's own refusal was
+// written into its body, which then looked whole (MIXED).
+TEST_CASE("no refusal is written into a download that breaks off", "[promise-whole-answer]") {
+    // Far more than the sockets between caller and target hold.
+    constexpr std::uint64_t size_bytes = 60'000'000;
+    fleet fleet(targets_in_two_zones_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::truncated_body});
+    caller_request request = download(fleet, "d");
+    request.url_ =
+        request.url_.substr(0, request.url_.find('?')) + "?bytes=" + std::to_string(size_bytes);
+    raw_caller raw(request);
+    std::string received = raw.receive(1);
+    std::vector<std::string> rules;
+    for (const std::string& line : fleet.rules()) {
+        if (!line.starts_with("key ")) {
+            rules.push_back(line);
+        }
+    }
+    fleet.publish_rules(rules);
+    caller caller;
+    REQUIRE(wait_for(
+        [&] { return caller.send(order_request(fleet, "h1", "x", "GET")).status_ == 401; }));
+    received += raw.receive_all();
+    const std::size_t body_start = received.find("\r\n\r\n") + 4;
+    const std::string body = received.substr(body_start);
+    CHECK(body.size() <= size_bytes / 2);
+    CHECK(body == download_bytes(request.url_.substr(request.url_.find('/')), 0, body.size()));
+}
+
 TEST_CASE("a download is completed when its target proxy is killed", "[promise-whole-answer]") {
     fleet_plan plan = targets_in_two_zones_plan();
     plan.relayed_hosts_ = {"h2"};
--- /dev/null
+++ b/tests/support/raw_caller.h
@@ -0,0 +1,36 @@
+// A caller that sends one request on a connection of its own, and reads its response byte by byte
+// when the test says so. Used where the framing of the response, or a caller that does not read, is
+// what is tested.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "support/caller.h"
+
+namespace dandelionridge::support {
+
+class raw_caller {
+public:
+    // Connects and sends the request, which must have no body. Throws if that fails.
+    explicit raw_caller(const caller_request& request);
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+    ~raw_caller();
+
+    // Waits for at least `bytes` bytes, or the end of the connection, and returns what was
+    // received.
+    std::string receive(std::size_t bytes) const;
+
+    // Returns all that is received until the connection is closed, or nothing arrives for ten
+    // seconds.
+    std::string receive_all() const;
+
+    // Receives what has arrived, without waiting, and discards it.
+    void discard_received() const;
+
+private:
+    int fd_ = -1;
+};
+
+}  // namespace dandelionridge::support
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -266,6 +266,7 @@
 target_stub::target_stub(std::string name, const base::address& address) : name_(std::move(name)) {
     thread_.run([&] {
         net::http_server_options options;
+        options.checks_framing_ = false;
         options.address_ = address;
         server_ = std::move(net::http_server::create(
                                 thread_.loop(), std::move(options),
