Pass a target's failure on only if it was received whole

Cause: a failure that is kept for a retry was in the same place while it was received as afterwards, told apart by a boolean that the end of an attempt cleared. It was then forwarded as if it were whole.

Change: the failure that is being received and the one that was received whole are two members; the end of an attempt drops the former. An earlier whole one is no longer overwritten by a part of a later one either.

Evidence: a relay cuts the link after 60,000 bytes of a 500 of 200,000 bytes.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -171,7 +171,7 @@
     owner_.dependencies_.quota_.cancel(*this);
     if (head_sent_) {
         abort_response();
-    } else if (held_failure_ && !holding_failure_) {
+    } else if (held_failure_) {
         forward_held_failure();
     } else if (written || may_have_run_) {
         refuse_unknown(reason);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -165,9 +165,10 @@
 
     bool head_sent_ = false;
     bool finished_ = false;
+    // The last failure that was received whole.
     std::optional<held_failure> held_failure_;
-    // The response being received is the held failure, which a retry may replace.
-    bool holding_failure_ = false;
+    // The failure that the attempt in progress is receiving.
+    std::optional<held_failure> incoming_failure_;
     // Bytes of the response's body that were forwarded to the caller's connection.
     std::uint64_t forwarded_bytes_ = 0;
     // The strong ETag of a response that another target can continue by a Range request; empty if
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -180,6 +180,8 @@
         return;
     }
     const std::unique_ptr<current_attempt> abandoned = std::move(attempt_);
+    // A part of a failure is of no use to the caller.
+    incoming_failure_.reset();
     overdue_timer_.cancel();
     abandoned->link_->cancel(*this);
     owner_.views_.end_attempt(abandoned->target_);
@@ -208,7 +210,7 @@
 // a planned stop the request stays where it runs: if no other target took it, no time would be
 // left.
 void call::on_overdue() {
-    if (attempt_ == nullptr || head_sent_ || holding_failure_ || owner_.draining()) {
+    if (attempt_ == nullptr || head_sent_ || incoming_failure_ || owner_.draining()) {
         return;
     }
     policy::retry_context retry = make_retry_context(policy::attempt_outcome::unknown);
@@ -344,7 +346,6 @@
         resume_or_abort();
         return;
     }
-    holding_failure_ = false;
     if (!budget_exempt) {
         ++attempts_;
         tried_targets_.insert(attempt_->target_);
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -53,8 +53,7 @@
     }
     if (head.status >= min_server_error_status && context_.idempotent_ &&
         claim_whole_failure(head)) {
-        holding_failure_ = true;
-        held_failure_ = held_failure{head, {}, attempt_->target_};
+        incoming_failure_ = held_failure{head, {}, attempt_->target_};
         return;
     }
     forward_head(head);
@@ -119,10 +118,10 @@
 }
 
 void call::on_response_body(const wire::body_part& part) {
-    if (holding_failure_) {
-        held_failure_->body_ += part.bytes;
+    if (incoming_failure_) {
+        incoming_failure_->body_ += part.bytes;
         if (part.last) {
-            holding_failure_ = false;
+            held_failure_ = std::exchange(incoming_failure_, {});
             attempt_ended(policy::attempt_outcome::failed, filter::reason::target_failed);
         }
         return;
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -88,6 +88,24 @@
     CHECK(body == download_bytes(request.url_.substr(request.url_.find('/')), 0, body.size()));
 }
 
+// Guards against: a target's 500 was passed on with its head and a part of its body, and never
+// ended, because the link was lost while the body was on its way (CONFIG).
+TEST_CASE("a failure whose body is lost is not passed on in part", "[promise-whole-answer]") {
+    fleet_plan plan = orders_plan({"z1", "z1"}, {"h2"}, "slots=5 timeout=3s");
+    plan.relayed_hosts_ = {"h2"};
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::server_error});
+    caller_request request = order_request(fleet, "h1", "d", "GET");
+    request.url_ += "?bytes=200000";
+    fleet.relay_of("h2").cut_open_links_after(60'000);
+    caller caller;
+    const auto response = caller.send(request);
+    CHECK(response.complete_);
+    CHECK_FALSE(response.timed_out_);
+    CHECK(response.outcome() == "unknown");
+}
+
 TEST_CASE("a download is completed when its target proxy is killed", "[promise-whole-answer]") {
     fleet_plan plan = targets_in_two_zones_plan();
     plan.relayed_hosts_ = {"h2"};
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -64,6 +64,13 @@
     }
 }
 
+void relay::cut_open_links_after(std::size_t bytes_to_caller_proxy) {
+    const std::lock_guard lock(mutex_);
+    for (relayed_link& link : links_) {
+        link.bytes_until_cut_ = bytes_to_caller_proxy;
+    }
+}
+
 void relay::release() {
     const std::lock_guard lock(mutex_);
     for (relayed_link& link : links_) {
@@ -89,17 +96,23 @@
         return;
     }
     ++opened_;
-    links_.push_back({caller_proxy_fd, target_proxy_fd, false, false, false});
+    links_.push_back({caller_proxy_fd, target_proxy_fd, false, false, false, {}});
 }
 
-// Forwards the bytes that can be read without blocking. Returns false if either side has closed.
-bool relay::forward_available(int from, int to) const {
+// Forwards the bytes that can be read without blocking. Returns false if either side has closed, or
+// the link is to be cut because `until_cut` bytes were forwarded.
+bool relay::forward_available(int from, int to, std::optional<std::size_t>* until_cut) const {
     if (!readable(from)) {
         return true;
     }
     std::this_thread::sleep_for(delay_.load());
     std::array<char, 16384> bytes{};
-    const ssize_t count = read(from, bytes.data(), bytes.size());
+    const bool counted = until_cut != nullptr && until_cut->has_value();
+    const std::size_t room = counted ? std::min(bytes.size(), **until_cut) : bytes.size();
+    const ssize_t count = room == 0 ? 0 : read(from, bytes.data(), room);
+    if (counted && count > 0) {
+        **until_cut -= static_cast<std::size_t>(count);
+    }
     return count > 0 &&
            send(to, bytes.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
 }
@@ -122,7 +135,8 @@
             link.closed_ = (!link.hold_to_target_proxy_ &&
                             !forward_available(link.caller_proxy_fd_, link.target_proxy_fd_)) ||
                            (!link.hold_to_caller_proxy_ &&
-                            !forward_available(link.target_proxy_fd_, link.caller_proxy_fd_));
+                            !forward_available(link.target_proxy_fd_, link.caller_proxy_fd_,
+                                               &link.bytes_until_cut_));
             if (link.closed_) {
                 close(link.caller_proxy_fd_);
                 close(link.target_proxy_fd_);
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -4,10 +4,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "base/address.h"
@@ -28,6 +30,10 @@
     // affected.
     void hold_open_links(relay_direction direction);
 
+    // Breaks each link that is open now once it has forwarded that many more bytes to the caller
+    // proxy.
+    void cut_open_links_after(std::size_t bytes_to_caller_proxy);
+
     // Resumes forwarding on all links, including the bytes that were held.
     void release();
 
@@ -47,11 +53,13 @@
         bool hold_to_target_proxy_ = false;
         bool hold_to_caller_proxy_ = false;
         bool closed_ = false;
+        // Bytes that may still be forwarded to the caller proxy before the link breaks.
+        std::optional<std::size_t> bytes_until_cut_;
     };
 
     void run();
     void accept_one();
-    bool forward_available(int from, int to) const;
+    bool forward_available(int from, int to, std::optional<std::size_t>* until_cut = nullptr) const;
 
     base::address upstream_address_;
     int listener_ = -1;
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -185,7 +185,7 @@
         offset_ = 0;
         end_offset_ = size;
         net::http_response response;
-        response.status_ = 200;
+        response.status_ = behaviour_.mode_ == target_mode::server_error ? 500 : 200;
         response.headers_ = behaviour_.headers_;
         response.headers_.push_back({"etag", etag_of(request_.path_)});
         response.headers_.push_back({"accept-ranges", "bytes"});
