Let a target have served before its run outlasts a planned stop

Cause, from the logs of a failing play: the 8 s run of the test's setup counts as one failure of its target once it is overdue. After a single success its suspicion is then 78 percent, and the only target is ejected; after more successes it stays below the threshold. How many there were by then depended on the speed of the machine.

Change: five orders are served before that run. All checks are as they were.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -60,12 +60,19 @@
 template <typename check_response, typename is_last>
 void send_during_stop(fleet& fleet, check_response check, is_last last) {
     fleet.start_all();
+    caller caller;
+    // The run that outlasts the stop counts as one failure of its target. A target that has hardly
+    // served yet would be ejected for it, and the requests below would be refused for that reason.
+    constexpr int earlier_requests = 5;
+    for (int i = 0; i < earlier_requests; ++i) {
+        const std::string id = "earlier-" + std::to_string(i);
+        REQUIRE(caller.send(order_request(fleet, "h1", id, "POST")).status_ == 200);
+    }
     fleet.target("t1").set({.delay_ = std::chrono::seconds(8)});
     auto held_response = send_in_background(order_request(fleet, "h1", "a", "POST"));
     REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
     fleet.target("t1").set({});
     fleet.host("h1").send_signal(SIGTERM);
-    caller caller;
     int sent = 0;
     REQUIRE(wait_for([&] {
         const auto response =
