Log each configuration value that is sent to a peer

The log named who took a version from a peer, but neither the peer that sent it nor the bytes, so a choked link and a dead one looked the same. Change: configuration_sent in the sender's log names value, base, version, lines, bytes and peer.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -1,6 +1,7 @@
 #include "control/gossip.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace dandelionridge::control {
@@ -38,6 +39,12 @@
     return frame;
 }
 
+std::size_t total_bytes(const std::vector<std::string>& lines) {
+    return std::accumulate(
+        lines.begin(), lines.end(), std::size_t{0},
+        [](std::size_t sum, const std::string& line) { return sum + line.size(); });
+}
+
 }  // namespace
 
 gossip::gossip(const base::runtime_clock& clock, configuration& configuration, peer_sender& peers,
@@ -230,12 +237,16 @@
     pull_of(kind).behind_since_.reset();
 }
 
-void gossip::on_pull(const wire::config_pull& pull, const frame_sender& send_reply) {
+std::optional<sent_value> gossip::on_pull(const wire::config_pull& pull,
+                                          const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(pull.value);
     if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
-        return;
+        return std::nullopt;
     }
     config::line_delta delta = configuration_.delta_from(kind, pull.have);
+    const sent_value sent{kind, delta.base_, delta.version_,
+                          delta.removed_.size() + delta.added_.size(),
+                          total_bytes(delta.removed_) + total_bytes(delta.added_)};
     wire::frame frame;
     frame.__isset.update_ = true;
     frame.update_.value = to_wire(kind);
@@ -245,6 +256,7 @@
     frame.update_.added = std::move(delta.added_);
     frame.update_.digest = static_cast<std::int64_t>(delta.digest_);
     send_reply(frame);
+    return sent;
 }
 
 offer_outcome gossip::on_update(const wire::config_update& update, const frame_sender& send_reply) {
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -34,6 +34,17 @@
     base::duration platform_lead_{};
 };
 
+// A configuration value that was sent to a peer.
+struct sent_value {
+    config_value_kind kind_ = config_value_kind::rules;
+    // The version that the change starts from; 0 if all lines were sent.
+    std::int64_t base_ = 0;
+    std::int64_t version_ = 0;
+    // Number of lines sent, and of the bytes in them.
+    std::size_t lines_ = 0;
+    std::size_t bytes_ = 0;
+};
+
 class gossip {
 public:
     gossip(const base::runtime_clock& clock, configuration& configuration, peer_sender& peers,
@@ -45,13 +56,14 @@
     // Must be called after each accepted version.
     void on_accepted(config_value_kind kind);
 
-    // Handlers for messages of peers. on_view_request returns the reply to the request, on_update
-    // what became of the offered version.
+    // Handlers for messages of peers. on_view_request returns the reply to the request, on_pull what
+    // was sent, if anything, and on_update what became of the offered version.
     wire::view_answer on_view_request(const std::string& peer, const wire::view_question& request,
                                       const frame_sender& send_reply);
     void on_view_reply(const std::string& peer, const wire::view_answer& reply,
                        const frame_sender& send_reply);
-    void on_pull(const wire::config_pull& pull, const frame_sender& send_reply);
+    std::optional<sent_value> on_pull(const wire::config_pull& pull,
+                                      const frame_sender& send_reply);
     offer_outcome on_update(const wire::config_update& update, const frame_sender& send_reply);
 
     // Records the versions that a peer sent with any message, and pulls those that are newer than
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -292,7 +292,7 @@
     } else if (frame.__isset.view_answer_) {
         gossip_.on_view_reply(peer, frame.view_answer_, reply);
     } else if (frame.__isset.pull_) {
-        gossip_.on_pull(frame.pull_, reply);
+        on_pull(peer, frame.pull_, reply);
     } else if (frame.__isset.update_) {
         on_update(peer, frame.update_, reply);
     } else if (frame.__isset.lease_request_) {
@@ -305,6 +305,18 @@
     }
 }
 
+void node::on_pull(const std::string& peer, const wire::config_pull& pull,
+                   const control::frame_sender& reply) {
+    if (const auto sent = gossip_.on_pull(pull, reply)) {
+        record("configuration_sent", {{"value", to_text(sent->kind_)},
+                                      {"base", std::to_string(sent->base_)},
+                                      {"version", std::to_string(sent->version_)},
+                                      {"lines", std::to_string(sent->lines_)},
+                                      {"bytes", std::to_string(sent->bytes_)},
+                                      {"peer", peer}});
+    }
+}
+
 void node::on_update(const std::string& peer, const wire::config_update& update,
                      const control::frame_sender& reply) {
     const auto kind = update.value == wire::config_value::rules ? control::config_value_kind::rules
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,6 +65,8 @@
     void on_accepted(control::config_value_kind kind);
     void on_update(const std::string& peer, const wire::config_update& update,
                    const control::frame_sender& reply);
+    void on_pull(const std::string& peer, const wire::config_pull& pull,
+                 const control::frame_sender& reply);
     void on_published(control::config_value_kind kind, std::int64_t version,
                       const std::vector<std::string>& lines);
     void record_offer(control::config_value_kind kind, std::int64_t version,
