Take a version with the same lines without a copy of them

Cause: a started process reads the host list at the platform's present revision. Its version is above that of all others, whose list was last changed at an earlier revision, also where every line is the same. Each of the others pulled it, and got all lines, since the versions differ from host to host and a delta was made only for the one version before. Change: a pull carries the digest of the lines in force. The sender answers the same lines with an empty delta, and the lines before its last change with that change, whatever revision the peer read them at. An older program sends no digest and gets what it got; it ignores the new field.

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -6,6 +6,18 @@
 
 namespace dandelionridge::control {
 
+namespace {
+
+// Returns true if the lines that a peer has are those of this version.
+bool has_lines(const known_lines& known, const config::versioned_lines& lines) {
+    if (known.version_ == 0) {
+        return false;
+    }
+    return known.digest_ ? *known.digest_ == lines.digest_ : known.version_ == lines.version_;
+}
+
+}  // namespace
+
 const char* to_text(control::config_value_kind kind) {
     return kind == control::config_value_kind::rules ? "rules" : "hosts";
 }
@@ -70,7 +82,10 @@
         value.rejected_ = rejection{lines.version_, std::move(*parse_error)};
         return offer_outcome::rejected;
     }
-    value.previous_ = std::exchange(value.lines_, std::move(lines));
+    if (lines.digest_ != value.lines_.digest_) {
+        value.previous_ = std::move(value.lines_);
+    }
+    value.lines_ = std::move(lines);
     note_shared_version();
     notify(kind);
     return offer_outcome::accepted;
@@ -152,10 +167,16 @@
 }
 
 config::line_delta configuration::delta_from(config_value_kind kind,
-                                             std::int64_t known_version) const {
+                                             const known_lines& known) const {
     const config_value_state& value = state(kind);
-    if (known_version != 0 && known_version == value.previous_.version_) {
-        return config::make_delta(value.previous_, value.lines_);
+    if (has_lines(known, value.lines_)) {
+        return {known.version_, value.lines_.version_, {}, {}, value.lines_.digest_};
+    }
+    if (has_lines(known, value.previous_)) {
+        config::line_delta delta = config::make_delta(value.previous_, value.lines_);
+        // Hosts read the same lines at different revisions of the platform.
+        delta.base_ = known.version_;
+        return delta;
     }
     return config::make_delta(config::versioned_lines{}, value.lines_);
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -48,6 +48,14 @@
     delta_mismatch,
 };
 
+// The lines that a peer has in force.
+struct known_lines {
+    // 0 if it has none.
+    std::int64_t version_ = 0;
+    // Empty if the peer did not send it.
+    std::optional<std::uint64_t> digest_;
+};
+
 // A version that was rejected.
 struct rejection {
     std::int64_t version_ = 0;
@@ -58,7 +66,8 @@
 // State of one of the two values.
 struct config_value_state {
     config::versioned_lines lines_;
-    // The version before lines_, kept so that peers can be sent a delta instead of all lines.
+    // The last version with other lines, kept so that peers can be sent a delta instead of all
+    // lines.
     config::versioned_lines previous_;
     // The last version that was rejected, with the reason; empty if there was none.
     std::optional<rejection> rejected_;
@@ -91,9 +100,10 @@
     // Offers a delta received from a peer.
     offer_outcome offer_delta(config_value_kind kind, const config::line_delta& delta);
 
-    // Returns the delta that brings a peer at `known_version` to the version in force. It holds all
-    // lines, with base 0, unless `known_version` is the version before.
-    config::line_delta delta_from(config_value_kind kind, std::int64_t known_version) const;
+    // Returns the delta that brings a peer at the known version to the version in force. It is
+    // empty if the lines are the same and only their version is another one, and holds all lines,
+    // with base 0, if the peer has neither these lines nor those before them.
+    config::line_delta delta_from(config_value_kind kind, const known_lines& known) const;
 
     // Sets the hold. While it is active, the missing targets stay in use on this host if they were
     // in use before, and the host list is not passed on to peers: a list that was read just after
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -30,15 +30,26 @@
     return kind == config_value_kind::rules ? wire::config_value::rules : wire::config_value::hosts;
 }
 
-// Makes a request for a version of the value that is newer than `known_version`.
-wire::frame make_pull(config_value_kind kind, std::int64_t known_version) {
+// Makes a request for a newer version of the value than the known lines.
+wire::frame make_pull(config_value_kind kind, const known_lines& known) {
     wire::frame frame;
     frame.__isset.pull_ = true;
     frame.pull_.value = to_wire(kind);
-    frame.pull_.have = known_version;
+    frame.pull_.have = known.version_;
+    if (known.digest_) {
+        frame.pull_.__set_digest(static_cast<std::int64_t>(*known.digest_));
+    }
     return frame;
 }
 
+known_lines to_known_lines(const wire::config_pull& pull) {
+    known_lines known{pull.have, std::nullopt};
+    if (pull.__isset.digest) {
+        known.digest_ = static_cast<std::uint64_t>(pull.digest);
+    }
+    return known;
+}
+
 std::size_t total_bytes(const std::vector<std::string>& lines) {
     return std::accumulate(
         lines.begin(), lines.end(), std::size_t{0},
@@ -217,7 +228,7 @@
         return;
     }
     pull.pulled_at_ = now;
-    send_reply(make_pull(kind, current));
+    send_reply(make_pull(kind, lines_in_force(kind)));
 }
 
 // Pulls a version that a peer is known to have. Without this, a process whose platform gives out
@@ -230,7 +241,12 @@
         return;
     }
     pull.pulled_at_ = now;
-    peers_.send(pull.peer_, make_pull(kind, configuration_.version(kind)));
+    peers_.send(pull.peer_, make_pull(kind, lines_in_force(kind)));
+}
+
+known_lines gossip::lines_in_force(config_value_kind kind) const {
+    const config::versioned_lines& lines = configuration_.state(kind).lines_;
+    return {lines.version_, lines.digest_};
 }
 
 void gossip::on_accepted(config_value_kind kind) {
@@ -243,7 +259,7 @@
     if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
         return std::nullopt;
     }
-    config::line_delta delta = configuration_.delta_from(kind, pull.have);
+    config::line_delta delta = configuration_.delta_from(kind, to_known_lines(pull));
     const sent_value sent{kind, delta.base_, delta.version_,
                           delta.removed_.size() + delta.added_.size(),
                           total_bytes(delta.removed_) + total_bytes(delta.added_)};
@@ -265,7 +281,7 @@
                                    static_cast<std::uint64_t>(update.digest)};
     const offer_outcome outcome = configuration_.offer_delta(kind, delta);
     if (outcome == offer_outcome::delta_mismatch) {
-        send_reply(make_pull(kind, 0));
+        send_reply(make_pull(kind, {}));
     }
     return outcome;
 }
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -56,8 +56,8 @@
     // Must be called after each accepted version.
     void on_accepted(config_value_kind kind);
 
-    // Handlers for messages of peers. on_view_request returns the reply to the request, on_pull what
-    // was sent, if anything, and on_update what became of the offered version.
+    // Handlers for messages of peers. on_view_request returns the reply to the request, on_pull
+    // what was sent, if anything, and on_update what became of the offered version.
     wire::view_answer on_view_request(const std::string& peer, const wire::view_question& request,
                                       const frame_sender& send_reply);
     void on_view_reply(const std::string& peer, const wire::view_answer& reply,
@@ -113,6 +113,7 @@
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
     void pull_overdue(config_value_kind kind);
+    known_lines lines_in_force(config_value_kind kind) const;
     pull_state& pull_of(config_value_kind kind) {
         return kind == config_value_kind::rules ? rules_pull_ : hosts_pull_;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -307,7 +307,8 @@
 
 void node::on_pull(const std::string& peer, const wire::config_pull& pull,
                    const control::frame_sender& reply) {
-    if (const auto sent = gossip_.on_pull(pull, reply)) {
+    const auto sent = gossip_.on_pull(pull, reply);
+    if (sent && sent->lines_ > 0) {
         record("configuration_sent", {{"value", to_text(sent->kind_)},
                                       {"base", std::to_string(sent->base_)},
                                       {"version", std::to_string(sent->version_)},
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -238,6 +238,8 @@
 struct config_pull {
     1: config_value value
     2: i64 have
+    // Digest of all lines of version `have`, as in config_update.
+    3: optional i64 digest
 }
 
 // Changes a configuration value from version `base` to version `version`. Version 0 is empty.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -3734,6 +3734,11 @@
 void config_pull::__set_have(const int64_t val) {
   this->have = val;
 }
+
+void config_pull::__set_digest(const int64_t val) {
+  this->digest = val;
+__isset.digest = true;
+}
 std::ostream& operator<<(std::ostream& out, const config_pull& obj)
 {
   obj.printTo(out);
@@ -3780,6 +3785,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3805,6 +3818,11 @@
   xfer += oprot->writeI64(this->have);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->digest);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3814,28 +3832,33 @@
   using ::std::swap;
   swap(a.value, b.value);
   swap(a.have, b.have);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
 config_pull::config_pull(const config_pull& other110) noexcept {
   value = other110.value;
   have = other110.have;
+  digest = other110.digest;
   __isset = other110.__isset;
 }
 config_pull::config_pull(config_pull&& other111) noexcept {
   value = other111.value;
   have = other111.have;
+  digest = other111.digest;
   __isset = other111.__isset;
 }
 config_pull& config_pull::operator=(const config_pull& other112) noexcept {
   value = other112.value;
   have = other112.have;
+  digest = other112.digest;
   __isset = other112.__isset;
   return *this;
 }
 config_pull& config_pull::operator=(config_pull&& other113) noexcept {
   value = other113.value;
   have = other113.have;
+  digest = other113.digest;
   __isset = other113.__isset;
   return *this;
 }
@@ -3844,6 +3867,7 @@
   out << "config_pull(";
   out << "value=" << to_string(value);
   out << ", " << "have=" << to_string(have);
+  out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -1482,9 +1482,10 @@
 std::ostream& operator<<(std::ostream& out, const drain_notice& obj);
 
 typedef struct _config_pull__isset {
-  _config_pull__isset() : value(false), have(false) {}
+  _config_pull__isset() : value(false), have(false), digest(false) {}
   bool value :1;
   bool have :1;
+  bool digest :1;
 } _config_pull__isset;
 
 class config_pull : public virtual ::apache::thrift::TBase {
@@ -1496,7 +1497,8 @@
   config_pull& operator=(config_pull&&) noexcept;
   config_pull() noexcept
               : value(static_cast<config_value>(0)),
-                have(0) {
+                have(0),
+                digest(0) {
   }
 
   virtual ~config_pull() noexcept;
@@ -1506,6 +1508,7 @@
    */
   config_value value;
   int64_t have;
+  int64_t digest;
 
   _config_pull__isset __isset;
 
@@ -1513,12 +1516,18 @@
 
   void __set_have(const int64_t val);
 
+  void __set_digest(const int64_t val);
+
   bool operator == (const config_pull & rhs) const
   {
     if (!(value == rhs.value))
       return false;
     if (!(have == rhs.have))
       return false;
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const config_pull &rhs) const {
