Bound what a host sends of the configuration, and pull once at a time

Cause: nothing bounded the copies that one host sends; whoever lags pulled from the peer that showed the version last, and again each second, so that a pull without a reply added another copy to the queue that held the first. Change: policy/copy_budget: copies take at most a quarter of the host's link ([limits] link_mbps) and a quarter of a second of it at once; beyond it a pull is answered busy, with hosts that were sent the version. policy/config_pull: one pull of a value is outstanding; after a busy reply, a rejection or a timeout the next goes to another known peer, with growing, random delays. An older program ignores a busy reply, times out and pulls elsewhere as before.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -18,6 +18,8 @@
 constexpr double max_slack = 1'000'000;
 constexpr double min_memory_mb = 32;
 constexpr double max_memory_mb = 1024 * 1024;
+constexpr double min_link_mbps = 1;
+constexpr double max_link_mbps = 1'000'000;
 
 // Changes are gathered for this part (one in gather_divisor) of their bound.
 constexpr int gather_divisor = 4;
@@ -223,6 +225,7 @@
     reader.count("limits", "remembered_attempts", parsed.remembered_attempts_);
     reader.count("limits", "queued_requests", parsed.queued_requests_);
     reader.number("limits", "memory_mb", min_memory_mb, max_memory_mb, parsed.memory_mb_);
+    reader.number("limits", "link_mbps", min_link_mbps, max_link_mbps, parsed.link_mbps_);
     reader.time("times", "drain_bound", parsed.drain_bound_);
     reader.time("times", "drain_idle", parsed.drain_idle_);
     reader.time("times", "freshness_bound", parsed.freshness_bound_);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -45,6 +45,9 @@
     std::size_t queued_requests_ = 1'000;
     // Memory in megabytes that the process may use. Bodies of responses may fill a quarter of it.
     double memory_mb_ = 256;
+    // What the host's link carries, in megabits a second. Copies of the configuration for other
+    // hosts may take a quarter of it.
+    double link_mbps_ = 10;
     // [times]
     // Maximum time that a planned stop waits for requests in flight.
     base::duration drain_bound_ = base::seconds(30);
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -1,6 +1,7 @@
 #include "control/gossip.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -10,9 +11,6 @@
 
 // Number of hosts picked at random for version requests, for each list of hosts and round.
 constexpr std::size_t sampled_hosts = 2;
-constexpr base::duration min_pull_interval = base::milliseconds(300);
-// Time between two pulls of a version of which a peer has sent no further message.
-constexpr base::duration overdue_pull_interval = base::seconds(1);
 // Further delay of a pull from another zone, in which a peer of the own zone may offer the version.
 constexpr base::duration other_zone_delay = base::milliseconds(250);
 constexpr base::duration pending_request_expiry = base::seconds(10);
@@ -50,6 +48,28 @@
     return known;
 }
 
+wire::frame make_update(config_value_kind kind, config::line_delta delta) {
+    wire::frame frame;
+    frame.__isset.update_ = true;
+    frame.update_.value = to_wire(kind);
+    frame.update_.base = delta.base_;
+    frame.update_.version = delta.version_;
+    frame.update_.removed = std::move(delta.removed_);
+    frame.update_.added = std::move(delta.added_);
+    frame.update_.digest = static_cast<std::int64_t>(delta.digest_);
+    return frame;
+}
+
+wire::frame make_busy(config_value_kind kind, std::int64_t version,
+                      std::vector<std::string> other_sources) {
+    wire::frame frame;
+    frame.__isset.busy_ = true;
+    frame.busy_.value = to_wire(kind);
+    frame.busy_.version = version;
+    frame.busy_.hosts = std::move(other_sources);
+    return frame;
+}
+
 std::size_t total_bytes(const std::vector<std::string>& lines) {
     return std::accumulate(
         lines.begin(), lines.end(), std::size_t{0},
@@ -64,7 +84,8 @@
       configuration_(configuration),
       peers_(peers),
       options_(std::move(options)),
-      random_(base::make_random_engine()) {
+      random_(base::make_random_engine()),
+      copy_budget_(policy::make_copy_budget(options_.link_bytes_per_second_, clock.now())) {
     view_.self_ = options_.host_;
 }
 
@@ -125,8 +146,8 @@
 
 void gossip::tick(bool platform_available) {
     const base::instant now = clock_.now();
-    pull_overdue(config_value_kind::rules);
-    pull_overdue(config_value_kind::hosts);
+    pull_from_known_source(config_value_kind::rules);
+    pull_from_known_source(config_value_kind::hosts);
     if (now < next_round_ || (platform_available && !options_.strict_)) {
         return;
     }
@@ -214,34 +235,43 @@
 
 void gossip::pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                             const frame_sender& send_reply) {
-    const std::int64_t current = configuration_.version(kind);
-    const base::instant now = clock_.now();
-    pull_state& pull = pull_of(kind);
-    if (version <= current) {
+    if (version <= configuration_.version(kind)) {
         return;
     }
-    if (!pull.behind_since_) {
-        pull.behind_since_ = now;
-    }
-    pull.peer_ = peer;
-    if (now - *pull.behind_since_ < pull_delay(peer) || now - pull.pulled_at_ < min_pull_interval) {
-        return;
+    const base::instant now = clock_.now();
+    policy::config_pull& pull = exchange_of(kind).pull_;
+    policy::add_source(pull, peer, now);
+    if (policy::may_request(pull, now) && now - *pull.behind_since_ >= pull_delay(peer)) {
+        policy::record_request(pull, peer, now);
+        send_reply(make_pull(kind, lines_in_force(kind)));
     }
-    pull.pulled_at_ = now;
-    send_reply(make_pull(kind, lines_in_force(kind)));
 }
 
-// Pulls a version that a peer is known to have. Without this, a process whose platform gives out
+// Pulls a version that peers are known to have. Without this, a process whose platform gives out
 // older versions would depend on a second message, which an idle peer does not send.
-void gossip::pull_overdue(config_value_kind kind) {
-    pull_state& pull = pull_of(kind);
+void gossip::pull_from_known_source(config_value_kind kind) {
     const base::instant now = clock_.now();
-    if (!pull.behind_since_ || now - *pull.behind_since_ < pull_delay(pull.peer_) ||
-        now - pull.pulled_at_ < overdue_pull_interval) {
+    policy::config_pull& pull = exchange_of(kind).pull_;
+    policy::expire_request(pull, random_, now);
+    if (!policy::may_request(pull, now)) {
+        return;
+    }
+    const std::vector<std::string> sources = eligible_sources(pull);
+    if (sources.empty()) {
         return;
     }
-    pull.pulled_at_ = now;
-    peers_.send(pull.peer_, make_pull(kind, lines_in_force(kind)));
+    const std::string& source = sources[base::random_below(random_, sources.size())];
+    policy::record_request(pull, source, now);
+    peers_.send(source, make_pull(kind, lines_in_force(kind)));
+}
+
+// Returns the sources that need not be waited for any longer.
+std::vector<std::string> gossip::eligible_sources(const policy::config_pull& pull) const {
+    const base::duration behind = clock_.now() - *pull.behind_since_;
+    std::vector<std::string> eligible;
+    std::copy_if(pull.sources_.begin(), pull.sources_.end(), std::back_inserter(eligible),
+                 [&](const std::string& source) { return behind >= pull_delay(source); });
+    return eligible;
 }
 
 known_lines gossip::lines_in_force(config_value_kind kind) const {
@@ -250,10 +280,10 @@
 }
 
 void gossip::on_accepted(config_value_kind kind) {
-    pull_of(kind).behind_since_.reset();
+    policy::record_up_to_date(exchange_of(kind).pull_);
 }
 
-std::optional<sent_value> gossip::on_pull(const wire::config_pull& pull,
+std::optional<sent_value> gossip::on_pull(const std::string& peer, const wire::config_pull& pull,
                                           const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(pull.value);
     if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
@@ -263,24 +293,35 @@
     const sent_value sent{kind, delta.base_, delta.version_,
                           delta.removed_.size() + delta.added_.size(),
                           total_bytes(delta.removed_) + total_bytes(delta.added_)};
-    wire::frame frame;
-    frame.__isset.update_ = true;
-    frame.update_.value = to_wire(kind);
-    frame.update_.base = delta.base_;
-    frame.update_.version = delta.version_;
-    frame.update_.removed = std::move(delta.removed_);
-    frame.update_.added = std::move(delta.added_);
-    frame.update_.digest = static_cast<std::int64_t>(delta.digest_);
-    send_reply(frame);
+    policy::copy_receivers& receivers = exchange_of(kind).receivers_;
+    if (sent.lines_ > 0 && !policy::claim_copy(copy_budget_, sent.bytes_, clock_.now())) {
+        send_reply(
+            make_busy(kind, delta.version_, policy::receivers_of(receivers, delta.version_)));
+        return std::nullopt;
+    }
+    policy::record_receiver(receivers, delta.version_, peer);
+    send_reply(make_update(kind, std::move(delta)));
     return sent;
 }
 
-offer_outcome gossip::on_update(const wire::config_update& update, const frame_sender& send_reply) {
+void gossip::on_busy(const std::string& peer, const wire::config_busy& busy) {
+    const config_value_kind kind = to_kind(busy.value);
+    if (busy.version > configuration_.version(kind)) {
+        policy::record_busy(exchange_of(kind).pull_, peer, busy.hosts, random_, clock_.now());
+    }
+}
+
+offer_outcome gossip::on_update(const std::string& peer, const wire::config_update& update,
+                                const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(update.value);
     const config::line_delta delta{update.base, update.version, update.removed, update.added,
                                    static_cast<std::uint64_t>(update.digest)};
     const offer_outcome outcome = configuration_.offer_delta(kind, delta);
-    if (outcome == offer_outcome::delta_mismatch) {
+    policy::config_pull& pull = exchange_of(kind).pull_;
+    if (outcome == offer_outcome::rejected) {
+        policy::record_failure(pull, peer, random_, clock_.now());
+    } else if (outcome == offer_outcome::delta_mismatch) {
+        policy::record_request(pull, peer, clock_.now());
         send_reply(make_pull(kind, {}));
     }
     return outcome;
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -16,6 +16,8 @@
 #include "base/random.h"
 #include "control/configuration.h"
 #include "control/peer_sender.h"
+#include "policy/config_pull.h"
+#include "policy/copy_budget.h"
 #include "policy/zone_view.h"
 #include "wire/gen/fleet_types.h"
 
@@ -32,6 +34,8 @@
     // Time within which the platform usually delivers a version that a peer has already. Only then
     // is it pulled from the peer: whole configurations are large, and bytes between zones are dear.
     base::duration platform_lead_{};
+    // What this host's link carries. A part of it bounds what is sent to peers.
+    double link_bytes_per_second_ = 0;
 };
 
 // A configuration value that was sent to a peer.
@@ -62,9 +66,11 @@
                                       const frame_sender& send_reply);
     void on_view_reply(const std::string& peer, const wire::view_answer& reply,
                        const frame_sender& send_reply);
-    std::optional<sent_value> on_pull(const wire::config_pull& pull,
+    std::optional<sent_value> on_pull(const std::string& peer, const wire::config_pull& pull,
                                       const frame_sender& send_reply);
-    offer_outcome on_update(const wire::config_update& update, const frame_sender& send_reply);
+    void on_busy(const std::string& peer, const wire::config_busy& busy);
+    offer_outcome on_update(const std::string& peer, const wire::config_update& update,
+                            const frame_sender& send_reply);
 
     // Records the versions that a peer sent with any message, and pulls those that are newer than
     // the versions in force. A host that has the platform waits a moment, because it is about to
@@ -101,21 +107,19 @@
 
     void request_view(const std::string& peer);
     void request_some_views(const std::vector<std::string>& hosts);
-    // What is known of newer versions of one value.
-    struct pull_state {
-        base::instant pulled_at_{};
-        // Since when a newer version than the one in force is known; empty if none is.
-        std::optional<base::instant> behind_since_;
-        // The peer that had it last.
-        std::string peer_;
+    // What is pulled and sent of one value.
+    struct value_exchange {
+        policy::config_pull pull_;
+        policy::copy_receivers receivers_;
     };
 
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
-    void pull_overdue(config_value_kind kind);
+    void pull_from_known_source(config_value_kind kind);
+    std::vector<std::string> eligible_sources(const policy::config_pull& pull) const;
     known_lines lines_in_force(config_value_kind kind) const;
-    pull_state& pull_of(config_value_kind kind) {
-        return kind == config_value_kind::rules ? rules_pull_ : hosts_pull_;
+    value_exchange& exchange_of(config_value_kind kind) {
+        return kind == config_value_kind::rules ? rules_exchange_ : hosts_exchange_;
     }
     bool is_in_zone(const std::string& host) const;
     base::duration pull_delay(const std::string& peer) const;
@@ -137,8 +141,9 @@
     bool other_zone_replied_ = false;
     bool synchronized_ = false;
     bool platform_failing_ = false;
-    pull_state rules_pull_;
-    pull_state hosts_pull_;
+    value_exchange rules_exchange_;
+    value_exchange hosts_exchange_;
+    policy::token_bucket copy_budget_;
 };
 
 }  // namespace dandelionridge::control
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,7 @@
 constexpr int view_requests_per_bound = 4;
 // Time that a change takes from the platform to a host whose watch is waiting, at most.
 constexpr base::duration platform_lead_margin = base::milliseconds(100);
+constexpr double bytes_per_megabit = 1'000'000.0 / 8;
 // The source of versions that were read from the platform, in events.
 constexpr const char* platform_source = "platform";
 // Maximum number of targets that one event names in each of its lists.
@@ -77,7 +78,8 @@
       recorded_hosts_(configuration_.hosts()),
       gossip_(clock, configuration_, *this,
               {settings_.host_, settings_.zone_, settings_.view_bound_ / view_requests_per_bound,
-               settings_.strict_freshness_, config::gather_time(settings_) + platform_lead_margin}),
+               settings_.strict_freshness_, config::gather_time(settings_) + platform_lead_margin,
+               settings_.link_mbps_ * bytes_per_megabit}),
       quota_(clock, configuration_, *this, settings_.host_,
              {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}),
       response_memory_{response_bytes_limit(settings_)} {}
@@ -293,6 +295,8 @@
         gossip_.on_view_reply(peer, frame.view_answer_, reply);
     } else if (frame.__isset.pull_) {
         on_pull(peer, frame.pull_, reply);
+    } else if (frame.__isset.busy_) {
+        gossip_.on_busy(peer, frame.busy_);
     } else if (frame.__isset.update_) {
         on_update(peer, frame.update_, reply);
     } else if (frame.__isset.lease_request_) {
@@ -307,7 +311,7 @@
 
 void node::on_pull(const std::string& peer, const wire::config_pull& pull,
                    const control::frame_sender& reply) {
-    const auto sent = gossip_.on_pull(pull, reply);
+    const auto sent = gossip_.on_pull(peer, pull, reply);
     if (sent && sent->lines_ > 0) {
         record("configuration_sent", {{"value", to_text(sent->kind_)},
                                       {"base", std::to_string(sent->base_)},
@@ -322,7 +326,7 @@
                      const control::frame_sender& reply) {
     const auto kind = update.value == wire::config_value::rules ? control::config_value_kind::rules
                                                                 : control::config_value_kind::hosts;
-    record_offer(kind, update.version, gossip_.on_update(update, reply), peer);
+    record_offer(kind, update.version, gossip_.on_update(peer, update, reply), peer);
 }
 
 void node::send(const std::string& host, const wire::frame& frame) {
--- a/src/policy/token_bucket.cpp
+++ b/src/policy/token_bucket.cpp
@@ -26,6 +26,15 @@
     return taken;
 }
 
+bool overdraw(token_bucket& bucket, double amount, base::instant now) {
+    refill(bucket, static_cast<double>(bucket.burst_), now);
+    if (bucket.tokens_ < 1) {
+        return false;
+    }
+    bucket.tokens_ -= amount;
+    return true;
+}
+
 base::duration wait_for_token(const token_bucket& bucket) {
     const double missing = 1.0 - bucket.tokens_;
     if (missing <= 0 || bucket.rate_ <= 0) {
--- a/src/policy/token_bucket.h
+++ b/src/policy/token_bucket.h
@@ -26,6 +26,10 @@
 // Takes up to `wanted` whole tokens and returns how many.
 std::int64_t take(token_bucket& bucket, std::int64_t wanted, base::instant now);
 
+// Takes `amount` tokens if the bucket holds at least one, also when it then owes some. Returns
+// whether it did.
+bool overdraw(token_bucket& bucket, double amount, base::instant now);
+
 // Returns the time until the bucket holds a whole token; zero if it holds one or its rate is zero.
 base::duration wait_for_token(const token_bucket& bucket);
 
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -254,6 +254,14 @@
     6: i64 digest
 }
 
+// Reply to config_pull: the sender has sent so much of late that it sends no copy at present.
+struct config_busy {
+    1: config_value value
+    2: i64 version
+    // Hosts that were sent this version and may send it on.
+    3: list<string> hosts
+}
+
 // Requests the versions of a peer. The reply shows how recent the requester's view is.
 struct view_question {
     1: i64 nonce
@@ -308,4 +316,5 @@
     19: optional target_report report_
     20: optional view_question view_question_
     21: optional view_answer view_answer_
+    22: optional config_busy busy_
 }
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -4125,6 +4125,173 @@
 }
 
 
+config_busy::~config_busy() noexcept {
+}
+
+
+void config_busy::__set_value(const config_value val) {
+  this->value = val;
+}
+
+void config_busy::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void config_busy::__set_hosts(const std::vector<std::string> & val) {
+  this->hosts = val;
+}
+std::ostream& operator<<(std::ostream& out, const config_busy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t config_busy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast131;
+          xfer += iprot->readI32(ecast131);
+          this->value = static_cast<config_value>(ecast131);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->hosts.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += iprot->readString(this->hosts[_i136]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t config_busy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("config_busy");
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->value));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<std::string> ::const_iterator _iter137;
+    for (_iter137 = this->hosts.begin(); _iter137 != this->hosts.end(); ++_iter137)
+    {
+      xfer += oprot->writeString((*_iter137));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(config_busy &a, config_busy &b) {
+  using ::std::swap;
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.hosts, b.hosts);
+  swap(a.__isset, b.__isset);
+}
+
+config_busy::config_busy(const config_busy& other138) {
+  value = other138.value;
+  version = other138.version;
+  hosts = other138.hosts;
+  __isset = other138.__isset;
+}
+config_busy::config_busy(config_busy&& other139) noexcept {
+  value = other139.value;
+  version = other139.version;
+  hosts = std::move(other139.hosts);
+  __isset = other139.__isset;
+}
+config_busy& config_busy::operator=(const config_busy& other140) {
+  value = other140.value;
+  version = other140.version;
+  hosts = other140.hosts;
+  __isset = other140.__isset;
+  return *this;
+}
+config_busy& config_busy::operator=(config_busy&& other141) noexcept {
+  value = other141.value;
+  version = other141.version;
+  hosts = std::move(other141.hosts);
+  __isset = other141.__isset;
+  return *this;
+}
+void config_busy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "config_busy(";
+  out << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ")";
+}
+
+
 view_question::~view_question() noexcept {
 }
 
@@ -4217,26 +4384,26 @@
   swap(a.__isset, b.__isset);
 }
 
-view_question::view_question(const view_question& other131) noexcept {
-  nonce = other131.nonce;
-  versions = other131.versions;
-  __isset = other131.__isset;
+view_question::view_question(const view_question& other142) noexcept {
+  nonce = other142.nonce;
+  versions = other142.versions;
+  __isset = other142.__isset;
 }
-view_question::view_question(view_question&& other132) noexcept {
-  nonce = other132.nonce;
-  versions = std::move(other132.versions);
-  __isset = other132.__isset;
+view_question::view_question(view_question&& other143) noexcept {
+  nonce = other143.nonce;
+  versions = std::move(other143.versions);
+  __isset = other143.__isset;
 }
-view_question& view_question::operator=(const view_question& other133) noexcept {
-  nonce = other133.nonce;
-  versions = other133.versions;
-  __isset = other133.__isset;
+view_question& view_question::operator=(const view_question& other144) noexcept {
+  nonce = other144.nonce;
+  versions = other144.versions;
+  __isset = other144.__isset;
   return *this;
 }
-view_question& view_question::operator=(view_question&& other134) noexcept {
-  nonce = other134.nonce;
-  versions = std::move(other134.versions);
-  __isset = other134.__isset;
+view_question& view_question::operator=(view_question&& other145) noexcept {
+  nonce = other145.nonce;
+  versions = std::move(other145.versions);
+  __isset = other145.__isset;
   return *this;
 }
 void view_question::printTo(std::ostream& out) const {
@@ -4340,26 +4507,26 @@
   swap(a.__isset, b.__isset);
 }
 
-view_answer::view_answer(const view_answer& other135) noexcept {
-  nonce = other135.nonce;
-  versions = other135.versions;
-  __isset = other135.__isset;
+view_answer::view_answer(const view_answer& other146) noexcept {
+  nonce = other146.nonce;
+  versions = other146.versions;
+  __isset = other146.__isset;
 }
-view_answer::view_answer(view_answer&& other136) noexcept {
-  nonce = other136.nonce;
-  versions = std::move(other136.versions);
-  __isset = other136.__isset;
+view_answer::view_answer(view_answer&& other147) noexcept {
+  nonce = other147.nonce;
+  versions = std::move(other147.versions);
+  __isset = other147.__isset;
 }
-view_answer& view_answer::operator=(const view_answer& other137) noexcept {
-  nonce = other137.nonce;
-  versions = other137.versions;
-  __isset = other137.__isset;
+view_answer& view_answer::operator=(const view_answer& other148) noexcept {
+  nonce = other148.nonce;
+  versions = other148.versions;
+  __isset = other148.__isset;
   return *this;
 }
-view_answer& view_answer::operator=(view_answer&& other138) noexcept {
-  nonce = other138.nonce;
-  versions = std::move(other138.versions);
-  __isset = other138.__isset;
+view_answer& view_answer::operator=(view_answer&& other149) noexcept {
+  nonce = other149.nonce;
+  versions = std::move(other149.versions);
+  __isset = other149.__isset;
   return *this;
 }
 void view_answer::printTo(std::ostream& out) const {
@@ -4499,34 +4666,34 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_request::lease_request(const lease_request& other139) {
-  request = other139.request;
-  organisation = other139.organisation;
-  tokens = other139.tokens;
-  relayed = other139.relayed;
-  __isset = other139.__isset;
-}
-lease_request::lease_request(lease_request&& other140) noexcept {
-  request = other140.request;
-  organisation = std::move(other140.organisation);
-  tokens = other140.tokens;
-  relayed = other140.relayed;
-  __isset = other140.__isset;
+lease_request::lease_request(const lease_request& other150) {
+  request = other150.request;
+  organisation = other150.organisation;
+  tokens = other150.tokens;
+  relayed = other150.relayed;
+  __isset = other150.__isset;
 }
-lease_request& lease_request::operator=(const lease_request& other141) {
-  request = other141.request;
-  organisation = other141.organisation;
-  tokens = other141.tokens;
-  relayed = other141.relayed;
-  __isset = other141.__isset;
+lease_request::lease_request(lease_request&& other151) noexcept {
+  request = other151.request;
+  organisation = std::move(other151.organisation);
+  tokens = other151.tokens;
+  relayed = other151.relayed;
+  __isset = other151.__isset;
+}
+lease_request& lease_request::operator=(const lease_request& other152) {
+  request = other152.request;
+  organisation = other152.organisation;
+  tokens = other152.tokens;
+  relayed = other152.relayed;
+  __isset = other152.__isset;
   return *this;
 }
-lease_request& lease_request::operator=(lease_request&& other142) noexcept {
-  request = other142.request;
-  organisation = std::move(other142.organisation);
-  tokens = other142.tokens;
-  relayed = other142.relayed;
-  __isset = other142.__isset;
+lease_request& lease_request::operator=(lease_request&& other153) noexcept {
+  request = other153.request;
+  organisation = std::move(other153.organisation);
+  tokens = other153.tokens;
+  relayed = other153.relayed;
+  __isset = other153.__isset;
   return *this;
 }
 void lease_request::printTo(std::ostream& out) const {
@@ -4683,38 +4850,38 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_grant::lease_grant(const lease_grant& other143) {
-  request = other143.request;
-  organisation = other143.organisation;
-  tokens = other143.tokens;
-  retry_after_ms = other143.retry_after_ms;
-  granting = other143.granting;
-  __isset = other143.__isset;
-}
-lease_grant::lease_grant(lease_grant&& other144) noexcept {
-  request = other144.request;
-  organisation = std::move(other144.organisation);
-  tokens = other144.tokens;
-  retry_after_ms = other144.retry_after_ms;
-  granting = other144.granting;
-  __isset = other144.__isset;
-}
-lease_grant& lease_grant::operator=(const lease_grant& other145) {
-  request = other145.request;
-  organisation = other145.organisation;
-  tokens = other145.tokens;
-  retry_after_ms = other145.retry_after_ms;
-  granting = other145.granting;
-  __isset = other145.__isset;
+lease_grant::lease_grant(const lease_grant& other154) {
+  request = other154.request;
+  organisation = other154.organisation;
+  tokens = other154.tokens;
+  retry_after_ms = other154.retry_after_ms;
+  granting = other154.granting;
+  __isset = other154.__isset;
+}
+lease_grant::lease_grant(lease_grant&& other155) noexcept {
+  request = other155.request;
+  organisation = std::move(other155.organisation);
+  tokens = other155.tokens;
+  retry_after_ms = other155.retry_after_ms;
+  granting = other155.granting;
+  __isset = other155.__isset;
+}
+lease_grant& lease_grant::operator=(const lease_grant& other156) {
+  request = other156.request;
+  organisation = other156.organisation;
+  tokens = other156.tokens;
+  retry_after_ms = other156.retry_after_ms;
+  granting = other156.granting;
+  __isset = other156.__isset;
   return *this;
 }
-lease_grant& lease_grant::operator=(lease_grant&& other146) noexcept {
-  request = other146.request;
-  organisation = std::move(other146.organisation);
-  tokens = other146.tokens;
-  retry_after_ms = other146.retry_after_ms;
-  granting = other146.granting;
-  __isset = other146.__isset;
+lease_grant& lease_grant::operator=(lease_grant&& other157) noexcept {
+  request = other157.request;
+  organisation = std::move(other157.organisation);
+  tokens = other157.tokens;
+  retry_after_ms = other157.retry_after_ms;
+  granting = other157.granting;
+  __isset = other157.__isset;
   return *this;
 }
 void lease_grant::printTo(std::ostream& out) const {
@@ -4837,6 +5004,11 @@
   this->view_answer_ = val;
 __isset.view_answer_ = true;
 }
+
+void frame::__set_busy_(const config_busy& val) {
+  this->busy_ = val;
+__isset.busy_ = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -5033,6 +5205,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->busy_.read(iprot);
+          this->__isset.busy_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5155,6 +5335,11 @@
     xfer += this->view_answer_.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.busy_) {
+    xfer += oprot->writeFieldBegin("busy_", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->busy_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5183,105 +5368,110 @@
   swap(a.report_, b.report_);
   swap(a.view_question_, b.view_question_);
   swap(a.view_answer_, b.view_answer_);
+  swap(a.busy_, b.busy_);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other147) {
-  hello_ = other147.hello_;
-  welcome_ = other147.welcome_;
-  begin_ = other147.begin_;
-  body_ = other147.body_;
-  credit_ = other147.credit_;
-  cancel_ = other147.cancel_;
-  head_ = other147.head_;
-  refused_ = other147.refused_;
-  failed_ = other147.failed_;
-  resolve_ = other147.resolve_;
-  resolution_ = other147.resolution_;
-  ping_ = other147.ping_;
-  pong_ = other147.pong_;
-  drain_ = other147.drain_;
-  pull_ = other147.pull_;
-  update_ = other147.update_;
-  lease_request_ = other147.lease_request_;
-  lease_grant_ = other147.lease_grant_;
-  report_ = other147.report_;
-  view_question_ = other147.view_question_;
-  view_answer_ = other147.view_answer_;
-  __isset = other147.__isset;
-}
-frame::frame(frame&& other148) noexcept {
-  hello_ = std::move(other148.hello_);
-  welcome_ = std::move(other148.welcome_);
-  begin_ = std::move(other148.begin_);
-  body_ = std::move(other148.body_);
-  credit_ = std::move(other148.credit_);
-  cancel_ = std::move(other148.cancel_);
-  head_ = std::move(other148.head_);
-  refused_ = std::move(other148.refused_);
-  failed_ = std::move(other148.failed_);
-  resolve_ = std::move(other148.resolve_);
-  resolution_ = std::move(other148.resolution_);
-  ping_ = std::move(other148.ping_);
-  pong_ = std::move(other148.pong_);
-  drain_ = std::move(other148.drain_);
-  pull_ = std::move(other148.pull_);
-  update_ = std::move(other148.update_);
-  lease_request_ = std::move(other148.lease_request_);
-  lease_grant_ = std::move(other148.lease_grant_);
-  report_ = std::move(other148.report_);
-  view_question_ = std::move(other148.view_question_);
-  view_answer_ = std::move(other148.view_answer_);
-  __isset = other148.__isset;
-}
-frame& frame::operator=(const frame& other149) {
-  hello_ = other149.hello_;
-  welcome_ = other149.welcome_;
-  begin_ = other149.begin_;
-  body_ = other149.body_;
-  credit_ = other149.credit_;
-  cancel_ = other149.cancel_;
-  head_ = other149.head_;
-  refused_ = other149.refused_;
-  failed_ = other149.failed_;
-  resolve_ = other149.resolve_;
-  resolution_ = other149.resolution_;
-  ping_ = other149.ping_;
-  pong_ = other149.pong_;
-  drain_ = other149.drain_;
-  pull_ = other149.pull_;
-  update_ = other149.update_;
-  lease_request_ = other149.lease_request_;
-  lease_grant_ = other149.lease_grant_;
-  report_ = other149.report_;
-  view_question_ = other149.view_question_;
-  view_answer_ = other149.view_answer_;
-  __isset = other149.__isset;
+frame::frame(const frame& other158) {
+  hello_ = other158.hello_;
+  welcome_ = other158.welcome_;
+  begin_ = other158.begin_;
+  body_ = other158.body_;
+  credit_ = other158.credit_;
+  cancel_ = other158.cancel_;
+  head_ = other158.head_;
+  refused_ = other158.refused_;
+  failed_ = other158.failed_;
+  resolve_ = other158.resolve_;
+  resolution_ = other158.resolution_;
+  ping_ = other158.ping_;
+  pong_ = other158.pong_;
+  drain_ = other158.drain_;
+  pull_ = other158.pull_;
+  update_ = other158.update_;
+  lease_request_ = other158.lease_request_;
+  lease_grant_ = other158.lease_grant_;
+  report_ = other158.report_;
+  view_question_ = other158.view_question_;
+  view_answer_ = other158.view_answer_;
+  busy_ = other158.busy_;
+  __isset = other158.__isset;
+}
+frame::frame(frame&& other159) noexcept {
+  hello_ = std::move(other159.hello_);
+  welcome_ = std::move(other159.welcome_);
+  begin_ = std::move(other159.begin_);
+  body_ = std::move(other159.body_);
+  credit_ = std::move(other159.credit_);
+  cancel_ = std::move(other159.cancel_);
+  head_ = std::move(other159.head_);
+  refused_ = std::move(other159.refused_);
+  failed_ = std::move(other159.failed_);
+  resolve_ = std::move(other159.resolve_);
+  resolution_ = std::move(other159.resolution_);
+  ping_ = std::move(other159.ping_);
+  pong_ = std::move(other159.pong_);
+  drain_ = std::move(other159.drain_);
+  pull_ = std::move(other159.pull_);
+  update_ = std::move(other159.update_);
+  lease_request_ = std::move(other159.lease_request_);
+  lease_grant_ = std::move(other159.lease_grant_);
+  report_ = std::move(other159.report_);
+  view_question_ = std::move(other159.view_question_);
+  view_answer_ = std::move(other159.view_answer_);
+  busy_ = std::move(other159.busy_);
+  __isset = other159.__isset;
+}
+frame& frame::operator=(const frame& other160) {
+  hello_ = other160.hello_;
+  welcome_ = other160.welcome_;
+  begin_ = other160.begin_;
+  body_ = other160.body_;
+  credit_ = other160.credit_;
+  cancel_ = other160.cancel_;
+  head_ = other160.head_;
+  refused_ = other160.refused_;
+  failed_ = other160.failed_;
+  resolve_ = other160.resolve_;
+  resolution_ = other160.resolution_;
+  ping_ = other160.ping_;
+  pong_ = other160.pong_;
+  drain_ = other160.drain_;
+  pull_ = other160.pull_;
+  update_ = other160.update_;
+  lease_request_ = other160.lease_request_;
+  lease_grant_ = other160.lease_grant_;
+  report_ = other160.report_;
+  view_question_ = other160.view_question_;
+  view_answer_ = other160.view_answer_;
+  busy_ = other160.busy_;
+  __isset = other160.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other150) noexcept {
-  hello_ = std::move(other150.hello_);
-  welcome_ = std::move(other150.welcome_);
-  begin_ = std::move(other150.begin_);
-  body_ = std::move(other150.body_);
-  credit_ = std::move(other150.credit_);
-  cancel_ = std::move(other150.cancel_);
-  head_ = std::move(other150.head_);
-  refused_ = std::move(other150.refused_);
-  failed_ = std::move(other150.failed_);
-  resolve_ = std::move(other150.resolve_);
-  resolution_ = std::move(other150.resolution_);
-  ping_ = std::move(other150.ping_);
-  pong_ = std::move(other150.pong_);
-  drain_ = std::move(other150.drain_);
-  pull_ = std::move(other150.pull_);
-  update_ = std::move(other150.update_);
-  lease_request_ = std::move(other150.lease_request_);
-  lease_grant_ = std::move(other150.lease_grant_);
-  report_ = std::move(other150.report_);
-  view_question_ = std::move(other150.view_question_);
-  view_answer_ = std::move(other150.view_answer_);
-  __isset = other150.__isset;
+frame& frame::operator=(frame&& other161) noexcept {
+  hello_ = std::move(other161.hello_);
+  welcome_ = std::move(other161.welcome_);
+  begin_ = std::move(other161.begin_);
+  body_ = std::move(other161.body_);
+  credit_ = std::move(other161.credit_);
+  cancel_ = std::move(other161.cancel_);
+  head_ = std::move(other161.head_);
+  refused_ = std::move(other161.refused_);
+  failed_ = std::move(other161.failed_);
+  resolve_ = std::move(other161.resolve_);
+  resolution_ = std::move(other161.resolution_);
+  ping_ = std::move(other161.ping_);
+  pong_ = std::move(other161.pong_);
+  drain_ = std::move(other161.drain_);
+  pull_ = std::move(other161.pull_);
+  update_ = std::move(other161.update_);
+  lease_request_ = std::move(other161.lease_request_);
+  lease_grant_ = std::move(other161.lease_grant_);
+  report_ = std::move(other161.report_);
+  view_question_ = std::move(other161.view_question_);
+  view_answer_ = std::move(other161.view_answer_);
+  busy_ = std::move(other161.busy_);
+  __isset = other161.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5308,6 +5498,7 @@
   out << ", " << "report_="; (__isset.report_ ? (out << to_string(report_)) : (out << "<null>"));
   out << ", " << "view_question_="; (__isset.view_question_ ? (out << to_string(view_question_)) : (out << "<null>"));
   out << ", " << "view_answer_="; (__isset.view_answer_ ? (out << to_string(view_answer_)) : (out << "<null>"));
+  out << ", " << "busy_="; (__isset.busy_ ? (out << to_string(busy_)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -122,6 +122,8 @@
 
 class config_update;
 
+class config_busy;
+
 class view_question;
 
 class view_answer;
@@ -1628,6 +1630,68 @@
 
 std::ostream& operator<<(std::ostream& out, const config_update& obj);
 
+typedef struct _config_busy__isset {
+  _config_busy__isset() : value(false), version(false), hosts(false) {}
+  bool value :1;
+  bool version :1;
+  bool hosts :1;
+} _config_busy__isset;
+
+class config_busy : public virtual ::apache::thrift::TBase {
+ public:
+
+  config_busy(const config_busy&);
+  config_busy(config_busy&&) noexcept;
+  config_busy& operator=(const config_busy&);
+  config_busy& operator=(config_busy&&) noexcept;
+  config_busy() noexcept
+              : value(static_cast<config_value>(0)),
+                version(0) {
+  }
+
+  virtual ~config_busy() noexcept;
+  /**
+   * 
+   * @see config_value
+   */
+  config_value value;
+  int64_t version;
+  std::vector<std::string>  hosts;
+
+  _config_busy__isset __isset;
+
+  void __set_value(const config_value val);
+
+  void __set_version(const int64_t val);
+
+  void __set_hosts(const std::vector<std::string> & val);
+
+  bool operator == (const config_busy & rhs) const
+  {
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    return true;
+  }
+  bool operator != (const config_busy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const config_busy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(config_busy &a, config_busy &b);
+
+std::ostream& operator<<(std::ostream& out, const config_busy& obj);
+
 typedef struct _view_question__isset {
   _view_question__isset() : nonce(false), versions(false) {}
   bool nonce :1;
@@ -1872,7 +1936,7 @@
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj);
 
 typedef struct _frame__isset {
-  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false) {}
+  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false), busy_(false) {}
   bool hello_ :1;
   bool welcome_ :1;
   bool begin_ :1;
@@ -1894,6 +1958,7 @@
   bool report_ :1;
   bool view_question_ :1;
   bool view_answer_ :1;
+  bool busy_ :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1928,6 +1993,7 @@
   target_report report_;
   view_question view_question_;
   view_answer view_answer_;
+  config_busy busy_;
 
   _frame__isset __isset;
 
@@ -1973,6 +2039,8 @@
 
   void __set_view_answer_(const view_answer& val);
 
+  void __set_busy_(const config_busy& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_ != rhs.__isset.hello_)
@@ -2059,6 +2127,10 @@
       return false;
     else if (__isset.view_answer_ && !(view_answer_ == rhs.view_answer_))
       return false;
+    if (__isset.busy_ != rhs.__isset.busy_)
+      return false;
+    else if (__isset.busy_ && !(busy_ == rhs.busy_))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -58,6 +58,7 @@
         {"too little memory",
          valid_settings + "[limits]\nmemory_mb = 8\n",
          {"[limits] memory_mb", "32 to"}},
+        {"no link", valid_settings + "[limits]\nlink_mbps = 0\n", {"[limits] link_mbps", "1 to"}},
         {"invalid duration",
          valid_settings + "[times]\nwatch_wait = 3\n",
          {"[times] watch_wait", "500ms"}},
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr auto hosts_kind = control::config_value_kind::hosts;
+constexpr double link_bytes_per_second = 12e6 / 8;
 constexpr base::duration platform_lead = base::milliseconds(850);
 constexpr base::duration tick_interval = base::milliseconds(50);
 
@@ -27,9 +29,14 @@
     for (std::size_t number = 0; number < count; ++number) {
         const std::string ip =
             "10.0." + std::to_string(number / 200) + "." + std::to_string(1 + number % 200);
-        lines.push_back("host " + host_name(number) + " zone=z1 peers=" + ip + ":7070 targets=t" +
-                        std::to_string(number) + ":s1:" + ip +
-                        ":8080 padding=" + std::string(100, 'x'));
+        const std::string target = std::to_string(number);
+        std::string line = "host " + host_name(number) + " zone=z1 peers=";
+        line += ip;
+        line += ":7070 targets=t";
+        line += target;
+        line += " padding=";
+        line.append(120, 'x');
+        lines.push_back(std::move(line));
     }
     return lines;
 }
@@ -84,6 +91,12 @@
         }
     }
 
+    // Drops the messages to a host from now on.
+    void disconnect(std::size_t number) { disconnected_ = number; }
+
+    // Returns the number of pulls that a host was sent.
+    std::size_t pulls_at(std::size_t number) const { return hosts_[number]->pulls_; }
+
     void run(base::duration time) {
         for (base::duration elapsed{}; elapsed < time; elapsed += tick_interval) {
             clock_.advance(tick_interval);
@@ -100,7 +113,8 @@
               number_(number),
               configuration_(lenient_parsers()),
               gossip_(fleet.clock_, configuration_, *this,
-                      {host_name(number), "z1", base::seconds(1), false, platform_lead}) {}
+                      {host_name(number), "z1", base::seconds(1), false, platform_lead,
+                       link_bytes_per_second}) {}
 
         void on_accepted() {
             gossip_.on_accepted(hosts_kind);
@@ -117,6 +131,7 @@
         control::configuration configuration_;
         control::gossip gossip_;
         std::size_t bytes_sent_ = 0;
+        std::size_t pulls_ = 0;
     };
 
     control::frame_sender reply_sender(std::size_t from, std::size_t to) {
@@ -125,11 +140,18 @@
 
     void deliver(std::size_t from, std::size_t to, const wire::frame& frame) {
         hosts_[from]->bytes_sent_ += net::encode_frame(frame).size();
+        hosts_[to]->pulls_ += frame.__isset.pull_ ? 1 : 0;
+        if (to == disconnected_) {
+            return;
+        }
         simulated_host& receiver = *hosts_[to];
         if (frame.__isset.pull_) {
-            receiver.gossip_.on_pull(frame.pull_, reply_sender(to, from));
+            receiver.gossip_.on_pull(host_name(from), frame.pull_, reply_sender(to, from));
+        } else if (frame.__isset.busy_) {
+            receiver.gossip_.on_busy(host_name(from), frame.busy_);
         } else if (frame.__isset.update_) {
-            const auto outcome = receiver.gossip_.on_update(frame.update_, reply_sender(to, from));
+            const auto outcome =
+                receiver.gossip_.on_update(host_name(from), frame.update_, reply_sender(to, from));
             if (outcome == control::offer_outcome::accepted) {
                 receiver.on_accepted();
             }
@@ -137,6 +159,7 @@
     }
 
     base::runtime_clock clock_;
+    std::optional<std::size_t> disconnected_;
     std::vector<std::unique_ptr<simulated_host>> hosts_;
 };
 
@@ -184,3 +207,59 @@
           fleet.configuration_of(1).state(hosts_kind).lines_.lines_);
     CHECK(fleet.bytes_sent_by(1) < 1'000);
 }
+
+// Guards against a host that is unreachable for seconds because it sends other lines to all others,
+// which the platform has not given them.
+TEST_CASE("no host sends more copies than a part of its link carries") {
+    constexpr std::size_t count = 234;
+    constexpr std::size_t restarted = 21;
+    constexpr int seconds = 3;
+    gossip_fleet fleet(count);
+    std::vector<std::string> lines = host_lines(count);
+    for (std::size_t number = 0; number < count; ++number) {
+        fleet.offer_to(number, 1000, lines);
+    }
+    // Two changes ago, so that no delta starts from the lines of the others.
+    lines.front() += "y";
+    fleet.offer_to(restarted, 1500, lines);
+    lines.front() += "y";
+    fleet.offer_to(restarted, 2000, lines);
+    fleet.greet_all(restarted);
+    fleet.run(base::seconds(seconds));
+    CHECK(count_with(fleet, count, 2000) == count);
+    for (std::size_t number = 0; number < count; ++number) {
+        CHECK(fleet.bytes_sent_by(number) < seconds * link_bytes_per_second / 2);
+    }
+}
+
+// Guards against pulls that queue up at a peer that does not answer, while another one could.
+TEST_CASE("a pull without a reply is repeated at another peer") {
+    gossip_fleet fleet(3);
+    std::vector<std::string> lines = host_lines(100);
+    for (std::size_t number = 0; number < 3; ++number) {
+        fleet.offer_to(number, 1000, lines);
+    }
+    lines.pop_back();
+    fleet.offer_to(1, 2000, lines);
+    fleet.offer_to(2, 2000, lines);
+    fleet.disconnect(2);
+    fleet.greet_all(1);
+    fleet.greet_all(2);
+    fleet.run(base::seconds(5));
+    CHECK(fleet.configuration_of(0).version(hosts_kind) == 2000);
+    CHECK(fleet.pulls_at(2) <= 1);
+}
+
+// Guards against a queue of pulls at the only peer that has a version, while that peer is cut off.
+TEST_CASE("the only source of a version is asked at a falling rate") {
+    gossip_fleet fleet(2);
+    std::vector<std::string> lines = host_lines(100);
+    fleet.offer_to(0, 1000, lines);
+    lines.pop_back();
+    fleet.offer_to(1, 2000, lines);
+    fleet.disconnect(1);
+    fleet.greet_all(1);
+    fleet.run(base::seconds(20));
+    CHECK(fleet.pulls_at(1) >= 2);
+    CHECK(fleet.pulls_at(1) <= 6);
+}
