Keep a link on which bytes arrive although pongs are late

Cause: only pongs counted as signs of life, and they wait behind whatever the peer sends. Change: policy/link_liveness decides; a link with two pings unanswered is silent only if no byte has arrived since the last one. A peer that is dead, frozen or cut off sends none, so it is found as fast as before. Result: link_liveness_test, of which the case with arriving bytes is what the former rule (pongs alone) failed by definition; the rule stood in peer_link.cpp and had no test.

--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -260,8 +260,7 @@
     }
     connect_timer_.cancel();
     failures_ = 0;
-    ping_nonce_ = 0;
-    pong_nonce_ = 0;
+    liveness_ = {};
     pinging_ = false;
     const policy::link_opening opening = policy::confirm_link(sent_attempts_, welcome.boot);
     for (const policy::resolve_request& request : opening.resolve_requests_) {
@@ -342,19 +341,19 @@
 }
 
 void peer_link::on_ping_due() {
-    constexpr std::int64_t max_unanswered_pings = 2;
-    if (ping_nonce_ - pong_nonce_ >= max_unanswered_pings) {
+    const std::uint64_t received_bytes = socket_->bytes_received();
+    if (policy::is_silent(liveness_, received_bytes)) {
         handle_link_lost("silent");
         return;
     }
-    if (attempts_.empty() && !control_sent_ && ping_nonce_ == pong_nonce_) {
+    if (attempts_.empty() && !control_sent_ && !policy::awaits_pong(liveness_)) {
         pinging_ = false;
         return;
     }
     control_sent_ = false;
     wire::frame frame;
     frame.__isset.ping_ = true;
-    frame.ping_.nonce = ++ping_nonce_;
+    frame.ping_.nonce = policy::record_ping(liveness_, received_bytes);
     frame.ping_.versions = identity_.versions_();
     send(frame);
     ping_timer_.start(ping_interval, [this] { on_ping_due(); });
@@ -399,7 +398,7 @@
     } else if (frame.__isset.resolution_) {
         on_resolution(frame.resolution_);
     } else if (frame.__isset.pong_) {
-        pong_nonce_ = frame.pong_.nonce;
+        policy::record_pong(liveness_, frame.pong_.nonce);
         if (frame.pong_.__isset.report) {
             listener_.on_target_report(frame.pong_.report);
         }
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -16,6 +16,7 @@
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
 #include "observe/event.h"
+#include "policy/link_liveness.h"
 #include "policy/sent_attempts.h"
 #include "wire/gen/fleet_types.h"
 
@@ -172,9 +173,8 @@
     net::timer connect_timer_;
     net::timer ping_timer_;
     net::timer reconnect_timer_;
-    // Nonces of the last ping sent and the last pong received on the open link.
-    std::int64_t ping_nonce_ = 0;
-    std::int64_t pong_nonce_ = 0;
+    // State of the pings on the open link.
+    policy::link_liveness liveness_;
     base::instant last_used_{};
     // A control frame, to which a reply may be expected, was sent since the last ping: the next
     // ping is due even if no attempt is outstanding.
--- /dev/null
+++ b/src/policy/link_liveness.h
@@ -0,0 +1,29 @@
+// Decides from pings and received bytes whether the peer at the other end of a link is silent.
+#pragma once
+
+#include <cstdint>
+
+namespace dandelionridge::policy {
+
+struct link_liveness {
+    // Nonces of the last ping sent and the last pong received on the link.
+    std::int64_t last_ping_ = 0;
+    std::int64_t last_pong_ = 0;
+    // Bytes received on the link when the last ping was sent.
+    std::uint64_t received_bytes_ = 0;
+};
+
+// Records a ping and returns its nonce. `received_bytes` is the number of bytes received on the
+// link so far.
+std::int64_t record_ping(link_liveness& liveness, std::uint64_t received_bytes);
+
+void record_pong(link_liveness& liveness, std::int64_t nonce);
+
+// Returns true if a ping awaits its pong.
+bool awaits_pong(const link_liveness& liveness);
+
+// Returns true if several pings were not answered and nothing else has arrived since the last one.
+// A peer whose pongs wait behind other bytes is not silent.
+bool is_silent(const link_liveness& liveness, std::uint64_t received_bytes);
+
+}  // namespace dandelionridge::policy
--- /dev/null
+++ b/tests/link_liveness_test.cpp
@@ -0,0 +1,35 @@
+#include "policy/link_liveness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dandelionridge::policy;
+
+TEST_CASE("a link on which nothing arrives is silent after two pings") {
+    link_liveness liveness;
+    record_ping(liveness, 100);
+    CHECK_FALSE(is_silent(liveness, 100));
+    record_ping(liveness, 100);
+    CHECK(is_silent(liveness, 100));
+}
+
+TEST_CASE("a link whose pings are answered is not silent") {
+    link_liveness liveness;
+    for (std::uint64_t received = 0; received < 10; ++received) {
+        record_pong(liveness, record_ping(liveness, received));
+        CHECK_FALSE(awaits_pong(liveness));
+        CHECK_FALSE(is_silent(liveness, received));
+    }
+}
+
+// Guards against a host that is given up while its pongs wait behind a long message.
+TEST_CASE("a link on which bytes arrive is not silent, until they end") {
+    link_liveness liveness;
+    std::uint64_t received = 0;
+    for (int ping = 0; ping < 10; ++ping) {
+        record_ping(liveness, received);
+        received += 1000;
+        CHECK_FALSE(is_silent(liveness, received));
+    }
+    record_ping(liveness, received);
+    CHECK(is_silent(liveness, received));
+}
