Keep responses to idempotent requests for the next link

Cause: only responses to requests that must not be repeated were kept and waited for. One whose head was passed on cannot be repeated either.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -117,6 +117,7 @@
     void record_resumable(const wire::answer_head& head);
     bool continues_response(const wire::answer_head& head) const;
     void resume_or_abort();
+    bool can_resume_elsewhere() const;
     void abort_response();
     void record_event(const char* kind, const std::string& detail, base::duration number) const;
     base::duration time_left() const;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -323,15 +323,16 @@
 }
 
 void call::on_in_doubt() {
-    if (head_sent_ && context_.idempotent_) {
-        exclude_target();
-        resume_or_abort();
-        return;
-    }
     if (!head_sent_) {
         attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::response_lost);
         return;
     }
+    // The rest of a continuation cannot be told apart from its start if it is sent again.
+    if (resuming_ || can_resume_elsewhere()) {
+        exclude_target();
+        resume_or_abort();
+        return;
+    }
     // The rest of the response is requested from the target proxy; the wait for it is limited.
     deadline_timer_.start(context_.service_->timeout_, [this] { on_deadline(); });
 }
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -274,6 +274,13 @@
     return head.status == status_partial && same_etag && same_range;
 }
 
+// Returns true if another target than that of the attempt in progress can continue the response.
+bool call::can_resume_elsewhere() const {
+    return !resumable_etag_.empty() && replayable() && attempts_ + 1 < context_.route_->attempts_ &&
+           forwarded_bytes_ < response_length_ &&
+           owner_.choose(context_.service_->name_, criteria(), targets_used()).has_value();
+}
+
 // Requests the rest of the response from another target if a strong ETag ensures that it is the
 // same, or aborts the response.
 void call::resume_or_abort() {
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -12,6 +12,9 @@
 
 // Part of the memory for responses that those kept for lost links may fill.
 constexpr std::size_t kept_responses_divisor = 4;
+constexpr std::size_t kept_idempotent_responses_divisor = 8;
+// Time in which a lost link is noticed and another one opened. A later repetition is a new run.
+constexpr base::duration idempotent_response_age = base::seconds(5);
 
 constexpr base::duration expiry_interval = base::seconds(60);
 // The records of a caller proxy are evicted after this time without a link, which is far longer
@@ -47,7 +50,9 @@
       memory_(memory),
       events_(events),
       listener_(listener),
-      responses_(memory.limit_ / kept_responses_divisor),
+      responses_(memory.limit_ / kept_responses_divisor, base::duration::max()),
+      idempotent_responses_(memory.limit_ / kept_idempotent_responses_divisor,
+                            idempotent_response_age),
       expiry_timer_(loop),
       check_timer_(loop),
       random_(base::make_random_engine()) {
@@ -281,7 +286,8 @@
 
 void target_proxy::store_or_destroy(std::unique_ptr<target_proxy_attempt> attempt) {
     if (response_store::should_keep(*attempt)) {
-        responses_.add(std::move(attempt));
+        response_store& store = attempt->begin().idempotent ? idempotent_responses_ : responses_;
+        store.add(std::move(attempt), loop_.clock().now());
         return;
     }
     // Destroyed later, because callbacks of the attempt may be on the stack.
@@ -354,6 +360,9 @@
         return;
     }
     target_proxy_attempt* ended = responses_.find(key);
+    if (ended == nullptr) {
+        ended = idempotent_responses_.find(key);
+    }
     if (ended != nullptr && ended->resend_response()) {
         return;
     }
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -242,7 +242,9 @@
     std::unordered_map<std::string, target_state> targets_;
     // Open attempts: queued, running, or with a response that is being sent.
     std::map<policy::ledger_key, std::unique_ptr<target_proxy_attempt>> attempts_;
+    // Responses to non-idempotent requests, which cannot be had again, and to idempotent ones.
     response_store responses_;
+    response_store idempotent_responses_;
     // Queued attempts, keyed by queue ID.
     std::unordered_map<std::uint64_t, policy::ledger_key> waiting_;
     std::uint64_t next_queue_id_ = 1;
--- a/tests/process_whole_answer_test.cpp
+++ b/tests/process_whole_answer_test.cpp
@@ -100,10 +100,43 @@
     request.url_ += "?bytes=200000";
     fleet.relay_of("h2").cut_open_links_after(60'000);
     caller caller;
+    SECTION("without another link") {
+        fleet.relay_of("h2").refuse_new_links(true);
+        const auto response = caller.send(request);
+        CHECK(response.complete_);
+        CHECK_FALSE(response.timed_out_);
+        CHECK(response.outcome() == "unknown");
+    }
+    SECTION("with another link, on which it is sent again") {
+        const auto response = caller.send(request);
+        CHECK(response.complete_);
+        CHECK_FALSE(response.timed_out_);
+        CHECK(response.status_ == 500);
+        CHECK(response.body_bytes_ == 200'000);
+        CHECK(fleet.target("t1").total_runs() == 1);
+    }
+}
+
+// Guards against: a response to an idempotent request was cut after its head, because the link
+// between two hosts was lost while the body was on its way (LOST).
+TEST_CASE("a response is completed when its link is lost", "[promise-whole-answer]") {
+    constexpr std::uint64_t size_bytes = 400'000;
+    fleet_plan plan = orders_plan({"z1", "z1"}, {"h2"}, "slots=5 timeout=5s");
+    plan.relayed_hosts_ = {"h2"};
+    fleet fleet(plan);
+    fleet.start_all();
+    caller_request request = order_request(fleet, "h1", "d", "GET");
+    request.url_ += "?bytes=" + std::to_string(size_bytes);
+    fleet.relay_of("h2").cut_open_links_after(60'000);
+    caller caller;
     const auto response = caller.send(request);
     CHECK(response.complete_);
-    CHECK_FALSE(response.timed_out_);
-    CHECK(response.outcome() == "unknown");
+    CHECK(response.status_ == 200);
+    CHECK(response.body_bytes_ == size_bytes);
+    CHECK(
+        response.body_sha256_ ==
+        sha256_of(download_bytes("/orders/d?bytes=" + std::to_string(size_bytes), 0, size_bytes)));
+    CHECK(fleet.target("t1").total_runs() == 1);
 }
 
 TEST_CASE("a download is completed when its target proxy is killed", "[promise-whole-answer]") {
