Decide again on an idempotent request while it waits for its lost link

What callers saw: an idempotent request whose link was lost got a 504 of the proxy's own two seconds later, with most of its time and other targets left.

Cause: what follows a lost link was decided once, at that moment. If the retry budget was empty, no other target was eligible, the route's attempts were used up or too little time was left, the request waited for its attempt's status, and the end of that wait ended the request. The wait also took the place of the request's own deadline: a request that had meanwhile been found not to have run, and that was sent to another target, was ended when the wait would have been over.

Now the wait has a timer of its own. An idempotent request is decided on every 100 ms until its attempt's status is known, so that it goes to another target as soon as the budget allows one and a target is there. After the whole wait the status counts as unknown, which is decided on once more. The budget is claimed as before, and an attempt that did not run costs none. Nothing changes for requests that are not idempotent.

A refusal at the end of the wait now gives the reason response_lost instead of deadline, which had not passed.

The two process tests failed before, with 504 in place of 200, and pass now. The policy test passed before as well, but for the time of the next decision, which is new.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -57,6 +57,7 @@
       started_at_(owner.dependencies_.loop_.clock().now()),
       deadline_timer_(owner.dependencies_.loop_),
       overdue_timer_(owner.dependencies_.loop_),
+      resolution_timer_(owner.dependencies_.loop_),
       response_claim_(owner.dependencies_.response_memory_) {
     context_.rules_ = owner.dependencies_.configuration_.rules();
     context_.request_ = std::move(request);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -62,6 +62,8 @@
         std::int64_t target_started_ms_ = 0;
         // Valid once `written_` is set.
         policy::attempt_id id_;
+        // End of the wait for the attempt's status, which is set when its link is lost.
+        base::instant resolve_by_ = base::instant::max();
         // The attempt was written to the target proxy's link.
         bool written_ = false;
         // The last part of the request's body was sent.
@@ -97,6 +99,8 @@
     void retry_after_refusal(const wire::attempt_refused& refusal);
     void attempt_ended(policy::attempt_outcome outcome, filter::reason reason,
                        bool budget_exempt = false);
+    void await_resolution();
+    void on_decision_due();
     policy::retry_context make_retry_context(policy::attempt_outcome outcome) const;
     void end_without_retry(policy::retry_decision decision, filter::reason reason);
     void on_deadline();
@@ -134,6 +138,8 @@
     net::timer deadline_timer_;
     // Expires when the attempt in progress takes far longer than expected.
     net::timer overdue_timer_;
+    // Expires when the next decision on an attempt in doubt is due.
+    net::timer resolution_timer_;
     std::unique_ptr<current_attempt> attempt_;
     // Targets that no further attempt uses: they received the request, refused it for a reason
     // other than being busy, or could not be reached.
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -183,6 +183,7 @@
     // A part of a failure is of no use to the caller.
     incoming_failure_.reset();
     overdue_timer_.cancel();
+    resolution_timer_.cancel();
     abandoned->link_->cancel(*this);
     owner_.views_.end_attempt(abandoned->target_);
 }
@@ -324,6 +325,8 @@
 
 void call::on_in_doubt() {
     if (!head_sent_) {
+        const base::duration wait = policy::resolution_wait(context_.idempotent_, time_left());
+        attempt_->resolve_by_ = owner_.dependencies_.loop_.clock().now() + wait;
         attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::response_lost);
         return;
     }
@@ -361,9 +364,7 @@
     if (decision == policy::retry_decision::wait) {
         --attempts_;
         tried_targets_.erase(attempt_->target_);
-        // The attempt's status is requested from the target proxy, which may not reply.
-        deadline_timer_.start(policy::resolution_wait(context_.idempotent_, time_left()),
-                              [this] { on_deadline(); });
+        await_resolution();
         return;
     }
     const std::string target = attempt_->target_;
@@ -380,6 +381,26 @@
     start_attempt();
 }
 
+// Waits until the next decision on the attempt in doubt. Its status is requested from the target
+// proxy, which may not reply.
+void call::await_resolution() {
+    const base::duration wait_left =
+        attempt_->resolve_by_ - owner_.dependencies_.loop_.clock().now();
+    resolution_timer_.start(policy::next_decision_after(context_.idempotent_, wait_left),
+                            [this] { on_decision_due(); });
+}
+
+// Decides again on the attempt in doubt. After the whole wait its status counts as unknown.
+void call::on_decision_due() {
+    if (time_left() <= base::duration::zero()) {
+        on_deadline();
+        return;
+    }
+    const bool wait_over = owner_.dependencies_.loop_.clock().now() >= attempt_->resolve_by_;
+    attempt_ended(wait_over ? policy::attempt_outcome::unknown : policy::attempt_outcome::in_doubt,
+                  filter::reason::response_lost);
+}
+
 // Returns what the decision on another attempt depends on, except for the target that would get it.
 policy::retry_context call::make_retry_context(policy::attempt_outcome outcome) const {
     policy::retry_context retry;
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -33,6 +33,7 @@
 }  // namespace
 
 void call::on_response_head(const wire::answer_head& head) {
+    resolution_timer_.cancel();
     if (head.__isset.report) {
         owner_.record_report(head.report);
     }
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -16,6 +16,9 @@
 // Maximum wait for a target proxy whose link was lost, if the request is idempotent.
 constexpr base::duration max_idempotent_resolution_wait = base::seconds(2);
 
+// Time between two decisions on an idempotent request that waits for such a target proxy.
+constexpr base::duration decision_interval = base::milliseconds(100);
+
 // Part of its share of the slack that a process may use from its start.
 constexpr double initial_slack_share = 0.3;
 
@@ -79,6 +82,10 @@
                       : time_left;
 }
 
+base::duration next_decision_after(bool idempotent, base::duration wait_left) {
+    return idempotent ? std::min<base::duration>(wait_left, decision_interval) : wait_left;
+}
+
 double usable_budget_share(bool nested) {
     return nested ? 1 : 1 - nested_reserve_share;
 }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -22,7 +22,7 @@
 enum class retry_decision {
     // Start another attempt, on another target if there is one.
     retry,
-    // Wait for the target proxy's reply about the attempt.
+    // Wait for the target proxy's reply about the attempt, and decide again in the meantime.
     wait,
     // Refuse the request and tell the caller that it certainly did not run.
     refuse_not_run,
@@ -86,10 +86,15 @@
 base::duration overdue_after(base::duration run_duration);
 
 // Returns how long to wait for a target proxy whose link was lost to report the status of an
-// attempt and to send its response. The caller of an idempotent request is better told early, since
-// it may send the request again.
+// attempt and to send its response. An idempotent request does not wait longer for one target: it
+// is sent to another one, or its caller is told, since the caller may send it again.
 base::duration resolution_wait(bool idempotent, base::duration time_left);
 
+// Returns the time after which to decide again on an attempt in doubt, given the rest of the wait
+// for its status. Meanwhile the budget may allow a retry, or another target may have become
+// available; neither matters to a request that is not idempotent.
+base::duration next_decision_after(bool idempotent, base::duration wait_left);
+
 // Returns the share of the budget that a request may use: some of it is reserved for nested ones.
 double usable_budget_share(bool nested);
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -54,6 +54,8 @@
         {"idempotent, in doubt", in_doubt, true, true, false, true, retry_decision::retry},
         {"idempotent, in doubt, no other target", in_doubt, true, true, false, false,
          retry_decision::wait},
+        {"idempotent, in doubt, body no longer available", in_doubt, true, false, false, true,
+         retry_decision::wait},
         {"idempotent, may have run, no other target", unknown, true, true, false, false,
          retry_decision::refuse_unknown},
         {"idempotent, target failed it", failed, true, true, false, true, retry_decision::retry},
@@ -429,6 +431,42 @@
     CHECK(decide_retry(budget, {}, context, start) == retry_decision::retry);
 }
 
+// Guards against: an idempotent request whose link was lost was ended without another decision,
+// even if the budget had grown by then or the attempt had certainly not run.
+TEST_CASE("a request in doubt is sent to another target once the budget allows it",
+          "[policy][retry]") {
+    const retry_limits limits{0.5, 0, base::seconds(10)};
+    retry_budget budget;
+    retry_context context;
+    context.outcome_ = in_doubt;
+    context.idempotent_ = true;
+    context.replayable_ = true;
+    context.other_target_ = true;
+    context.time_left_ = base::seconds(9);
+    record_request(budget, limits, 0, start);
+    CHECK(decide_retry(budget, limits, context, start) == retry_decision::wait);
+    CHECK(next_decision_after(true, base::seconds(2)) < base::seconds(1));
+    CHECK(next_decision_after(true, base::milliseconds(5)) == base::milliseconds(5));
+    // Neither the budget nor another target matters to a request that must not run twice.
+    CHECK(next_decision_after(false, base::seconds(9)) == base::seconds(9));
+    // The wait is over: nothing is known of the attempt, and it is not waited for any longer.
+    context.outcome_ = unknown;
+    CHECK(decide_retry(budget, limits, context, start) == retry_decision::refuse_unknown);
+    // It certainly did not run, so another attempt is no retry.
+    context.outcome_ = not_run;
+    context.budget_exempt_ = true;
+    CHECK(decide_retry(budget, limits, context, start) == retry_decision::retry);
+    context.budget_exempt_ = false;
+    for (int i = 0; i < 3; ++i) {
+        record_request(budget, limits, 0, start);
+    }
+    for (const attempt_outcome outcome : {in_doubt, unknown}) {
+        retry_budget grown = budget;
+        context.outcome_ = outcome;
+        CHECK(decide_retry(grown, limits, context, start) == retry_decision::retry);
+    }
+}
+
 // Guards against: an attempt was begun so late that its refusal came after the deadline, so that
 // the caller could not be told that the request did not run.
 TEST_CASE("no attempt begins too late for its refusal to arrive", "[policy][retry]") {
--- a/tests/process_run_test.cpp
+++ b/tests/process_run_test.cpp
@@ -209,6 +209,59 @@
     CHECK(response.body_.starts_with("t1 "));
 }
 
+// Guards against: a read whose link was lost while the retry budget was used up got a 504 two
+// seconds later, although the budget had grown by then and another target was idle.
+TEST_CASE("a read whose link is lost goes to another target once the retry budget allows it",
+          "[promise-whole-answer][retry-budget]") {
+    fleet_plan plan = orders_plan({"z1", "z1", "z1"}, {"h2", "h3"}, long_timeout_options);
+    plan.relayed_hosts_ = {"h2", "h3"};
+    // Each read adds less than one retry to the budget, which is empty at first.
+    plan.extra_settings_ = "[retries]\nratio = 1\nslack = 0\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::hang});
+    fleet.target("t2").set({.mode_ = target_mode::hang});
+    auto read = send_in_background(order_request(fleet, "h1", "a", "GET"));
+    REQUIRE(wait_for([&] { return has_run(fleet, "a"); }));
+    const bool first_runs_it = fleet.target("t1").total_runs() > 0;
+    const std::string lost_host = first_runs_it ? "h2" : "h3";
+    const std::string other_target = first_runs_it ? "t2" : "t1";
+    fleet.target(other_target).set({});
+    fleet.relay_of(lost_host).refuse_new_links(true);
+    fleet.relay_of(lost_host).hold_open_links(relay_direction::to_caller_proxy);
+    REQUIRE(wait_for([&] { return fleet.log_of("h1").find("link_lost") != std::string::npos; }));
+    CHECK(fleet.runs_of("a") == 1);
+    caller caller;
+    for (int i = 0; i < 8; ++i) {
+        CHECK(caller.send(order_request(fleet, "h1", std::to_string(i), "GET")).status_ == 200);
+    }
+    const caller_response response = read.get();
+    CHECK(response.status_ == 200);
+    CHECK(response.body_.starts_with(other_target + " "));
+    CHECK(fleet.runs_of("a") == 2);
+}
+
+// Guards against: a read that was sent to another target after a wait for the status of its attempt
+// was ended with 504 when that wait would have ended, long before its own deadline.
+TEST_CASE("a read keeps its deadline after a wait for the status of an attempt",
+          "[promise-whole-answer]") {
+    fleet_plan plan = orders_plan({"z1", "z2", "z1"}, {"h2", "h3"}, long_timeout_options);
+    plan.relayed_hosts_ = {"h3"};
+    // Without a retry budget, only an attempt that did not run is followed by another one.
+    plan.extra_settings_ = "[retries]\nratio = 0\nslack = 0\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    warm_up(fleet);
+    fleet.relay_of("h3").hold_open_links(relay_direction::to_target_proxy);
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(4)});
+    caller caller;
+    const auto response = caller.send(order_request(fleet, "h1", "a", "GET"));
+    REQUIRE(fleet.log_of("h1").find("attempt_resolved") != std::string::npos);
+    CHECK(response.status_ == 200);
+    CHECK(response.body_.starts_with("t1 "));
+    CHECK(fleet.runs_of("a") == 1);
+}
+
 TEST_CASE("a request whose target closes the connection during the run is not retried",
           "[promise-at-most-once]") {
     fleet fleet(orders_plan({"z1", "z2"}, {"h2", "h1"}, long_timeout_options));
