Count the bytes exchanged with peers by kind of frame

Cause: nothing showed how much of what a host sends to its peers is configuration and how much belongs to requests, so that a host whose link is filled by copies of a host list looked like a dead one.

--- a/src/net/frame_codec.cpp
+++ b/src/net/frame_codec.cpp
@@ -92,7 +92,8 @@
             base::error_kind::protocol,
             "cannot decode a frame from a peer; upgrade the older of the two processes");
     }
-    offset_ += length_prefix_bytes + length;
+    last_frame_bytes_ = length_prefix_bytes + length;
+    offset_ += last_frame_bytes_;
     return frame;
 }
 
--- a/src/net/frame_codec.h
+++ b/src/net/frame_codec.h
@@ -30,10 +30,14 @@
     // large or malformed. After an error the connection must be closed.
     base::result<std::optional<wire::frame>> next();
 
+    // Returns the size in bytes, with its length prefix, of the frame that next() returned last.
+    std::size_t last_frame_bytes() const { return last_frame_bytes_; }
+
 private:
     std::string bytes_;
     // Start of the next frame in bytes_.
     std::size_t offset_ = 0;
+    std::size_t last_frame_bytes_ = 0;
 };
 
 }  // namespace dandelionridge::net
--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -6,12 +6,13 @@
 
 namespace dandelionridge::net {
 
-frame_socket::frame_socket(event_loop& loop, frame_socket_events& events)
-    : loop_(loop), events_(events), pauses_at_creation_(loop.pause_count()) {}
+frame_socket::frame_socket(event_loop& loop, frame_socket_events& events, frame_traffic& traffic)
+    : loop_(loop), events_(events), traffic_(traffic), pauses_at_creation_(loop.pause_count()) {}
 
 std::unique_ptr<frame_socket> frame_socket::connect(event_loop& loop, const base::address& peer,
-                                                    frame_socket_events& events) {
-    std::unique_ptr<frame_socket> socket(new frame_socket(loop, events));
+                                                    frame_socket_events& events,
+                                                    frame_traffic& traffic) {
+    std::unique_ptr<frame_socket> socket(new frame_socket(loop, events, traffic));
     socket->socket_ = byte_socket::connect(loop, peer, *socket);
     return socket;
 }
@@ -25,9 +26,12 @@
 }
 
 void frame_socket::send(const wire::frame& frame) {
-    if (is_open()) {
-        socket_->send(encode_frame(frame));
+    if (!is_open()) {
+        return;
     }
+    const std::string bytes = encode_frame(frame);
+    count_frame(traffic_.sent_, frame, bytes.size());
+    socket_->send(bytes);
 }
 
 void frame_socket::on_bytes(std::string_view bytes) {
@@ -47,6 +51,7 @@
         if (!next->has_value()) {
             return;
         }
+        count_frame(traffic_.received_, **next, decoder_.last_frame_bytes());
         events_.on_frame(*this, std::move(**next));
     }
 }
@@ -68,14 +73,17 @@
     events_.on_closed(*this, cause);
 }
 
-frame_server::frame_server(event_loop& loop, frame_socket_events& events, accept_callback on_accept)
-    : loop_(loop), events_(events), accept_callback_(std::move(on_accept)) {}
+frame_server::frame_server(event_loop& loop, frame_socket_events& events, frame_traffic& traffic,
+                           accept_callback on_accept)
+    : loop_(loop), events_(events), traffic_(traffic), accept_callback_(std::move(on_accept)) {}
 
 base::result<std::unique_ptr<frame_server>> frame_server::create(event_loop& loop,
                                                                  const base::address& address,
                                                                  frame_socket_events& events,
+                                                                 frame_traffic& traffic,
                                                                  accept_callback on_accept) {
-    std::unique_ptr<frame_server> server(new frame_server(loop, events, std::move(on_accept)));
+    std::unique_ptr<frame_server> server(
+        new frame_server(loop, events, traffic, std::move(on_accept)));
     frame_server* self = server.get();
     auto listener = byte_server::create(loop, address, [self](std::unique_ptr<byte_socket> opened) {
         return self->accept(std::move(opened));
@@ -90,7 +98,7 @@
 frame_server::~frame_server() = default;
 
 byte_socket_events* frame_server::accept(std::unique_ptr<byte_socket> opened) {
-    std::unique_ptr<frame_socket> socket(new frame_socket(loop_, events_));
+    std::unique_ptr<frame_socket> socket(new frame_socket(loop_, events_, traffic_));
     frame_socket* accepted = socket.get();
     accepted->socket_ = std::move(opened);
     accept_callback_(std::move(socket));
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -13,6 +13,7 @@
 #include "net/byte_socket.h"
 #include "net/event_loop.h"
 #include "net/frame_codec.h"
+#include "net/frame_traffic.h"
 
 namespace dandelionridge::net {
 
@@ -41,9 +42,11 @@
 // One connection. Its destructor closes it and discards unread and unsent bytes.
 class frame_socket final : public byte_socket_events {
 public:
-    // Starts to connect. Reports the result to `events` later, never from within this call.
+    // Starts to connect. Reports the result to `events` later, never from within this call. Adds
+    // the bytes that are exchanged to `traffic`, which must outlive the socket.
     static std::unique_ptr<frame_socket> connect(event_loop& loop, const base::address& peer,
-                                                 frame_socket_events& events);
+                                                 frame_socket_events& events,
+                                                 frame_traffic& traffic);
     frame_socket(const frame_socket&) = delete;
     frame_socket& operator=(const frame_socket&) = delete;
     ~frame_socket() override;
@@ -69,12 +72,13 @@
 private:
     friend class frame_server;
 
-    frame_socket(event_loop& loop, frame_socket_events& events);
+    frame_socket(event_loop& loop, frame_socket_events& events, frame_traffic& traffic);
     // Closes the connection and reports that to the events.
     void disconnect(std::string_view cause);
 
     event_loop& loop_;
     frame_socket_events& events_;
+    frame_traffic& traffic_;
     std::unique_ptr<byte_socket> socket_;
     frame_decoder decoder_;
     // The loop's pause count when this socket was created.
@@ -90,21 +94,25 @@
     // create() was given.
     using accept_callback = std::function<void(std::unique_ptr<frame_socket>)>;
 
-    // Starts to listen. Returns an error if the address cannot be used.
+    // Starts to listen. Returns an error if the address cannot be used. The bytes that its
+    // connections exchange are added to `traffic`, which must outlive them.
     static base::result<std::unique_ptr<frame_server>> create(event_loop& loop,
                                                               const base::address& address,
                                                               frame_socket_events& events,
+                                                              frame_traffic& traffic,
                                                               accept_callback on_accept);
     frame_server(const frame_server&) = delete;
     frame_server& operator=(const frame_server&) = delete;
     ~frame_server();
 
 private:
-    frame_server(event_loop& loop, frame_socket_events& events, accept_callback on_accept);
+    frame_server(event_loop& loop, frame_socket_events& events, frame_traffic& traffic,
+                 accept_callback on_accept);
     byte_socket_events* accept(std::unique_ptr<byte_socket> opened);
 
     event_loop& loop_;
     frame_socket_events& events_;
+    frame_traffic& traffic_;
     accept_callback accept_callback_;
     std::unique_ptr<byte_server> listener_;
 };
--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -19,8 +19,14 @@
 }  // namespace
 
 link_pool::link_pool(net::event_loop& loop, const link_identity& identity,
-                     observe::event_log& events, link_listener& listener)
-    : loop_(loop), identity_(identity), events_(events), listener_(listener), sweep_timer_(loop) {
+                     net::frame_traffic& traffic, observe::event_log& events,
+                     link_listener& listener)
+    : loop_(loop),
+      identity_(identity),
+      traffic_(traffic),
+      events_(events),
+      listener_(listener),
+      sweep_timer_(loop) {
     sweep_timer_.start(sweep_interval, [this] { remove_idle_links(); });
 }
 
@@ -36,8 +42,8 @@
     }
     std::unique_ptr<peer_link>& link = links_[key_of(host)];
     if (link == nullptr) {
-        link = std::make_unique<peer_link>(loop_, identity_, events_, host.name_, host.address_,
-                                           listener_);
+        link = std::make_unique<peer_link>(loop_, identity_, traffic_, events_, host.name_,
+                                           host.address_, listener_);
     }
     current_links_[host.name_] = link.get();
     return *link;
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -15,8 +15,8 @@
 
 class link_pool {
 public:
-    link_pool(net::event_loop& loop, const link_identity& identity, observe::event_log& events,
-              link_listener& listener);
+    link_pool(net::event_loop& loop, const link_identity& identity, net::frame_traffic& traffic,
+              observe::event_log& events, link_listener& listener);
 
     // Returns the link to a host at its current address, creating it if there is none.
     peer_link& link_to(const config::host_entry& host);
@@ -44,6 +44,7 @@
 
     net::event_loop& loop_;
     const link_identity& identity_;
+    net::frame_traffic& traffic_;
     observe::event_log& events_;
     link_listener& listener_;
     // Keyed by name and address, because a host may restart at another address.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -120,10 +120,10 @@
     loop_ = std::move(*loop);
     drain_timer_ = std::make_unique<net::timer>(*loop_);
     tick_timer_ = std::make_unique<net::timer>(*loop_);
-    links_ = std::make_unique<link_pool>(*loop_, identity_, events_, *this);
+    links_ = std::make_unique<link_pool>(*loop_, identity_, traffic_, events_, *this);
     auto created_target_proxy =
         target_proxy::create(*loop_, settings_, environment_.headers_, identity_, configuration_,
-                             response_memory_, events_, *this);
+                             response_memory_, traffic_, events_, *this);
     if (!created_target_proxy) {
         return tl::unexpected(created_target_proxy.error());
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -94,6 +94,8 @@
     control::fleet_quota quota_;
     // Memory for the bodies of the responses that this host's targets or its callers get.
     policy::response_memory response_memory_;
+    // Bytes of the frames that this process has exchanged with its peers.
+    net::frame_traffic traffic_;
     std::unique_ptr<net::event_loop> loop_;
     std::unique_ptr<link_pool> links_;
     std::unique_ptr<target_proxy> target_proxy_;
--- a/src/node/node_admin.cpp
+++ b/src/node/node_admin.cpp
@@ -21,6 +21,16 @@
     void on_sent(std::size_t /*bytes*/) override {}
 };
 
+// Returns the counter of the bytes that were exchanged with peers in one direction.
+observe::labelled_counter make_byte_counter(std::string name, std::string help,
+                                            const net::bytes_by_kind& bytes) {
+    observe::labelled_counter counter{std::move(name), std::move(help), "kind", {}};
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        counter.values_.emplace(net::to_text(static_cast<net::frame_kind>(i)), bytes.at(i));
+    }
+    return counter;
+}
+
 }  // namespace
 
 base::result<bool> node::open_admin() {
@@ -114,13 +124,19 @@
         {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
         {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
         {"dandelionridge_links", static_cast<double>(links_->size())},
+        {"dandelionridge_links_open", static_cast<double>(links_->open_count())},
         {"dandelionridge_response_held_bytes", static_cast<double>(response_memory_.held_)},
         {"dandelionridge_response_limit_bytes", static_cast<double>(response_memory_.limit_)},
     };
     if (const auto limit = target_proxy_->rate_limit()) {
         gauges.push_back({"dandelionridge_target_rate_limit_per_second", *limit});
     }
-    return metrics_.render(gauges);
+    return metrics_.render(
+        gauges,
+        {make_byte_counter("dandelionridge_peer_sent_bytes_total",
+                           "Bytes queued for peers, by kind of frame.", traffic_.sent_),
+         make_byte_counter("dandelionridge_peer_received_bytes_total",
+                           "Bytes received from peers, by kind of frame.", traffic_.received_)});
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -41,10 +41,11 @@
 }  // namespace
 
 peer_link::peer_link(net::event_loop& loop, const link_identity& identity,
-                     observe::event_log& events, std::string peer, base::address address,
-                     link_listener& listener)
+                     net::frame_traffic& traffic, observe::event_log& events, std::string peer,
+                     base::address address, link_listener& listener)
     : loop_(loop),
       identity_(identity),
+      traffic_(traffic),
       event_log_(events),
       peer_(std::move(peer)),
       address_(std::move(address)),
@@ -148,7 +149,7 @@
 
 void peer_link::connect() {
     policy::allocate_link_number(sent_attempts_);
-    socket_ = net::frame_socket::connect(loop_, address_, *this);
+    socket_ = net::frame_socket::connect(loop_, address_, *this, traffic_);
     connect_timer_.start(connect_timeout, [this] {
         handle_link_lost("no welcome frame within the connect timeout");
     });
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -82,8 +82,9 @@
 // reopened after a delay that grows with each consecutive failure.
 class peer_link final : public net::frame_socket_events {
 public:
-    peer_link(net::event_loop& loop, const link_identity& identity, observe::event_log& events,
-              std::string peer, base::address address, link_listener& listener);
+    peer_link(net::event_loop& loop, const link_identity& identity, net::frame_traffic& traffic,
+              observe::event_log& events, std::string peer, base::address address,
+              link_listener& listener);
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
     ~peer_link() override;
@@ -159,6 +160,7 @@
 
     net::event_loop& loop_;
     const link_identity& identity_;
+    net::frame_traffic& traffic_;
     observe::event_log& event_log_;
     std::string peer_;
     base::address address_;
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -67,11 +67,12 @@
 base::result<std::unique_ptr<target_proxy>> target_proxy::create(
     net::event_loop& loop, const config::settings& settings, const config::header_policy& headers,
     const link_identity& identity, const control::configuration& configuration,
-    policy::response_memory& memory, observe::event_log& events, link_listener& listener) {
+    policy::response_memory& memory, net::frame_traffic& traffic, observe::event_log& events,
+    link_listener& listener) {
     std::unique_ptr<target_proxy> proxy(new target_proxy(loop, settings, headers, identity,
                                                          configuration, memory, events, listener));
     target_proxy* self = proxy.get();
-    auto server = net::frame_server::create(loop, settings.peer_listen_address_, *self,
+    auto server = net::frame_server::create(loop, settings.peer_listen_address_, *self, traffic,
                                             [self](std::unique_ptr<net::frame_socket> socket) {
                                                 net::frame_socket* key = socket.get();
                                                 self->connections_[key].socket_ = std::move(socket);
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -58,7 +58,7 @@
         net::event_loop& loop, const config::settings& settings,
         const config::header_policy& headers, const link_identity& identity,
         const control::configuration& configuration, policy::response_memory& memory,
-        observe::event_log& events, link_listener& listener);
+        net::frame_traffic& traffic, observe::event_log& events, link_listener& listener);
     target_proxy(const target_proxy&) = delete;
     target_proxy& operator=(const target_proxy&) = delete;
     ~target_proxy() override;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -26,6 +26,14 @@
         << name << ' ' << value << '\n';
 }
 
+void render_labelled(std::ostream& out, const labelled_counter& counter) {
+    out << "# HELP " << counter.name_ << ' ' << counter.help_ << "\n# TYPE " << counter.name_
+        << " counter\n";
+    for (const auto& [value, count] : counter.values_) {
+        out << counter.name_ << '{' << counter.label_ << "=\"" << value << "\"} " << count << '\n';
+    }
+}
+
 // Writes the cumulative buckets that Prometheus' text format requires. Returns the count of all
 // observations.
 std::uint64_t render_buckets(std::ostream& out, const char* name, const time_histogram& histogram) {
@@ -63,7 +71,8 @@
     ++refusals_[{outcome, reason}];
 }
 
-std::string metrics::render(const std::vector<gauge>& gauges) const {
+std::string metrics::render(const std::vector<gauge>& gauges,
+                            const std::vector<labelled_counter>& counters) const {
     std::ostringstream out;
     render_counter(out, "dandelionridge_requests_total", "Requests of callers.", requests_);
     render_counter(out, "dandelionridge_answers_total", "Whole answers to callers.", responses_);
@@ -85,6 +94,9 @@
         render_buckets(out, response_time_name, histograms_->response_time_);
     out << response_time_name << "_sum " << response_seconds_ << '\n'
         << response_time_name << "_count " << count << '\n';
+    for (const labelled_counter& counter : counters) {
+        render_labelled(out, counter);
+    }
     for (const gauge& sample : gauges) {
         out << "# TYPE " << sample.name_ << " gauge\n"
             << sample.name_ << ' ' << sample.value_ << '\n';
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -26,6 +26,15 @@
     double value_ = 0;
 };
 
+// The current values of a counter that another module holds, by the value of one label.
+struct labelled_counter {
+    // Name with unit and the suffix "_total", by Prometheus' conventions.
+    std::string name_;
+    std::string help_;
+    std::string label_;
+    std::map<std::string, std::uint64_t> values_;
+};
+
 // The metrics of this process.
 class metrics {
 public:
@@ -47,8 +56,9 @@
     // Counts a response that was aborted, so that the caller sees that it is incomplete.
     void count_broken_response() { ++broken_responses_; }
 
-    // Returns all metrics and the given gauges as text.
-    std::string render(const std::vector<gauge>& gauges) const;
+    // Returns all metrics and the given ones of other modules as text.
+    std::string render(const std::vector<gauge>& gauges,
+                       const std::vector<labelled_counter>& counters) const;
 
 private:
     struct histograms;
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -1,4 +1,4 @@
-// Tests of what a connection for frames reports about its end.
+// Tests of what a connection for frames reports about its end, and of the bytes that it counts.
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -7,9 +7,12 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "net/frame_socket.h"
 #include "support/local.h"
+#include "wire/gen/fleet_types.h"
 
 using namespace dandelionridge;
 
@@ -32,6 +35,53 @@
     std::string cause_;
 };
 
+// Sends frames once its connection is open.
+class frame_sender final : public net::frame_socket_events {
+public:
+    explicit frame_sender(std::vector<wire::frame> frames) : frames_(std::move(frames)) {}
+
+    void on_open(net::frame_socket& socket) override {
+        for (const wire::frame& frame : frames_) {
+            socket.send(frame);
+        }
+    }
+    void on_frame(net::frame_socket& /*socket*/, wire::frame&& /*frame*/) override {}
+    void on_closed(net::frame_socket& /*socket*/, std::string_view /*cause*/) override {}
+
+    std::vector<wire::frame> frames_;
+};
+
+// Accepts one connection, and stops the loop when as many frames have arrived on it.
+class frame_counter final : public net::frame_socket_events {
+public:
+    frame_counter(net::event_loop& loop, std::size_t expected) : loop_(loop), missing_(expected) {}
+
+    void on_open(net::frame_socket& /*socket*/) override {}
+    void on_frame(net::frame_socket& /*socket*/, wire::frame&& /*frame*/) override {
+        --missing_;
+        if (missing_ == 0) {
+            loop_.stop();
+        }
+    }
+    void on_closed(net::frame_socket& /*socket*/, std::string_view /*cause*/) override {}
+
+    net::event_loop& loop_;
+    std::size_t missing_;
+    std::unique_ptr<net::frame_socket> socket_;
+};
+
+// Returns one frame of each kind, in the order of net::frame_kind.
+std::vector<wire::frame> one_frame_of_each_kind() {
+    std::vector<wire::frame> frames(net::frame_kind_count);
+    frames.at(0).__isset.body_ = true;
+    frames.at(0).body_.bytes = std::string(1000, 'b');
+    frames.at(1).__isset.ping_ = true;
+    frames.at(2).__isset.update_ = true;
+    frames.at(3).__isset.lease_request_ = true;
+    frames.at(4).__isset.drain_ = true;
+    return frames;
+}
+
 int connect_to(const base::address& address) {
     sockaddr_in endpoint{};
     endpoint.sin_family = AF_INET;
@@ -49,8 +99,9 @@
     const auto loop = std::move(net::event_loop::create(clock).value());
     const base::address address{support::loopback_ip(92), 18997};
     end_recorder recorder(*loop);
+    net::frame_traffic traffic;
     const auto server =
-        std::move(net::frame_server::create(*loop, address, recorder,
+        std::move(net::frame_server::create(*loop, address, recorder, traffic,
                                             [&](std::unique_ptr<net::frame_socket> socket) {
                                                 recorder.socket_ = std::move(socket);
                                             })
@@ -76,3 +127,33 @@
         close(fd);
     }
 }
+
+// Guards against: nobody could tell whether a host whose links were silent was busy sending its
+// configuration, because the bytes of all frames were counted together.
+TEST_CASE("the bytes that a connection exchanges are counted by the kind of their frames",
+          "[net][contract]") {
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const base::address address{support::loopback_ip(92), 18996};
+    const std::vector<wire::frame> frames = one_frame_of_each_kind();
+    frame_counter counter(*loop, frames.size());
+    net::frame_traffic server_traffic;
+    const auto server =
+        std::move(net::frame_server::create(*loop, address, counter, server_traffic,
+                                            [&](std::unique_ptr<net::frame_socket> socket) {
+                                                counter.socket_ = std::move(socket);
+                                            })
+                      .value());
+    frame_sender sender(frames);
+    net::frame_traffic client_traffic;
+    const auto client = net::frame_socket::connect(*loop, address, sender, client_traffic);
+    loop->run();
+    for (std::size_t i = 0; i < frames.size(); ++i) {
+        INFO(net::to_text(static_cast<net::frame_kind>(i)));
+        const std::size_t frame_bytes = net::encode_frame(frames.at(i)).size();
+        CHECK(client_traffic.sent_.at(i) == frame_bytes);
+        CHECK(server_traffic.received_.at(i) == frame_bytes);
+    }
+    CHECK(client_traffic.received_ == net::bytes_by_kind{});
+    CHECK(server_traffic.sent_ == net::bytes_by_kind{});
+}
--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -91,3 +91,27 @@
               200);
     }
 }
+
+// Guards against: the metrics could not show that a host was busy sending its configuration.
+TEST_CASE("the metrics show the bytes exchanged with peers by kind, and the open links",
+          "[metrics]") {
+    fleet fleet(orders_plan({"z1", "z1"}, {"h2"}, "slots=5"));
+    fleet.start_all();
+    caller caller;
+    REQUIRE(caller.send(order_request(fleet, "h1", "a", "GET")).status_ == 200);
+    const auto has_line = [&](const std::string& line) {
+        return fleet.admin("h1", "/metrics").find("\n" + line) != std::string::npos;
+    };
+    CHECK(has_line("# TYPE dandelionridge_peer_sent_bytes_total counter\n"));
+    for (const std::string direction : {"sent", "received"}) {
+        const std::string name = "dandelionridge_peer_" + direction + "_bytes_total";
+        for (const char* kind : {"request", "liveness"}) {
+            INFO(direction << " " << kind);
+            CHECK(has_line(name + "{kind=\"" + kind + "\"} "));
+            CHECK_FALSE(has_line(name + "{kind=\"" + kind + "\"} 0\n"));
+        }
+        CHECK(has_line(name + "{kind=\"configuration\"} "));
+    }
+    // Each host has a link to both hosts, its own included.
+    CHECK(has_line("dandelionridge_links_open 2\n"));
+}
