Let a stopping host's replies leave the kernel before it ends

Callers saw: an order that had run was answered 504 "unknown" at its deadline. Its target's host stopped while the link to the caller proxy stood still for half a second.

Cause: the process waited for its own queues only. What the kernel still holds at the end of the process is lost as soon as the peer sends anything, since a closed socket answers with a reset; and a caller proxy that waits for a response sends a ping every 300 ms.

Now each link notes where its last reply ends, and the stop waits until the peer's system has acknowledged that far (SIOCOUTQ), at most until the time at which it ends anyway. Other frames, such as pongs and configuration, do not hold the stop up.

--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -1,8 +1,10 @@
 #include "net/byte_socket.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -139,6 +141,12 @@
     }
 }
 
+std::size_t byte_socket::unacknowledged() const {
+    int in_kernel = 0;
+    const bool known = wsi_ != nullptr && ioctl(fd_, SIOCOUTQ, &in_kernel) == 0;
+    return unsent() + (known ? static_cast<std::size_t>(in_kernel) : 0);
+}
+
 void byte_socket::pause() {
     if (wsi_ != nullptr && !std::exchange(paused_, true)) {
         lws_rx_flow_control(wsi_, 0);
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -83,6 +83,9 @@
     // Returns the number of queued bytes that are not yet sent.
     std::size_t unsent() const { return output_.size() - written_; }
 
+    // Returns the number of queued bytes that the peer's system has not acknowledged yet.
+    std::size_t unacknowledged() const;
+
 private:
     friend int on_byte_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
                              std::size_t length);
--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -34,6 +34,14 @@
     socket_->send(bytes);
 }
 
+std::uint64_t frame_socket::bytes_queued() const {
+    return bytes_sent_ + (socket_ == nullptr ? 0 : socket_->unsent());
+}
+
+bool frame_socket::has_delivered(std::uint64_t bytes) const {
+    return socket_ == nullptr || bytes + socket_->unacknowledged() <= bytes_queued();
+}
+
 void frame_socket::on_bytes(std::string_view bytes) {
     if (loop_.pause_count() != pauses_at_creation_) {
         // Frames that arrived during a pause may be long out of date, so none of them is processed.
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -64,6 +64,12 @@
     // Returns true if no bytes are queued for sending.
     bool all_sent() const { return socket_ == nullptr || socket_->unsent() == 0; }
 
+    // Returns the number of bytes that were queued so far, sent or not.
+    std::uint64_t bytes_queued() const;
+
+    // Returns true if the peer's system has acknowledged the first `bytes` of the queued bytes.
+    bool has_delivered(std::uint64_t bytes) const;
+
     void on_open() override { events_.on_open(*this); }
     void on_bytes(std::string_view bytes) override;
     void on_sent(std::size_t bytes) override;
--- a/src/node/node_stop.cpp
+++ b/src/node/node_stop.cpp
@@ -36,7 +36,7 @@
 void node::check_drained() {
     const base::duration elapsed = clock_.now() - stop_.started_at_;
     const bool no_runs = target_proxy_->open_attempts() == 0;
-    const bool idle = no_runs && caller_proxy_->open_calls() == 0 && target_proxy_->all_sent();
+    const bool idle = no_runs && caller_proxy_->open_calls() == 0 && target_proxy_->all_delivered();
     // The operating system may still hold bytes of responses that have just ended.
     idle_checks_ = idle ? idle_checks_ + 1 : 0;
     const base::duration min_listening = policy::listening_time(
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -101,9 +101,17 @@
     }
 }
 
-bool target_proxy::all_sent() const {
-    return std::all_of(connections_.begin(), connections_.end(),
-                       [](const auto& entry) { return entry.second.socket_->all_sent(); });
+bool target_proxy::all_delivered() const {
+    return std::all_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+        const connection& link = entry.second;
+        return link.socket_->all_sent() && link.socket_->has_delivered(link.replies_end_);
+    });
+}
+
+// Sends a frame that decides on an attempt or carries its response.
+void target_proxy::send_reply(connection& link, const wire::frame& frame) {
+    link.socket_->send(frame);
+    link.replies_end_ = link.socket_->bytes_queued();
 }
 
 void target_proxy::on_open(net::frame_socket& /*socket*/) {}
@@ -331,7 +339,7 @@
                                         std::to_string(resolved_status.sequence_)},
                         {"fate", std::to_string(static_cast<int>(resolved.state))}});
     }
-    link.socket_->send(frame);
+    send_reply(link, frame);
     successor_links_[queried_link] = {link.caller_proxy_boot_, link.link_};
     for (const policy::sequence_status& resolved_status : resolution.statuses_) {
         if (resolved_status.status_ == policy::attempt_status::running ||
@@ -368,7 +376,7 @@
         return;
     }
     if (connection* link = find_link(requesting_link)) {
-        link->socket_->send(make_failure(key.attempt_, wire::failure_reason::answer_lost));
+        send_reply(*link, make_failure(key.attempt_, wire::failure_reason::answer_lost));
     }
 }
 
@@ -418,7 +426,7 @@
     }
     connection* link = find_link({attempt.key().caller_proxy_boot_, attempt.key().attempt_.link_});
     if (link != nullptr) {
-        link->socket_->send(frame);
+        send_reply(*link, frame);
     }
     return link != nullptr;
 }
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -77,8 +77,10 @@
     // Records the runs and the responses that are cut because the process ends.
     void record_cut_runs() const;
 
-    // Returns true if no link has bytes queued for sending.
-    bool all_sent() const;
+    // Returns true if no link has bytes queued for sending, and all replies to attempts have
+    // reached the systems of their caller proxies. What the kernel still holds when the process
+    // ends is lost if the peer sends anything after that, such as a ping.
+    bool all_delivered() const;
 
     const target_proxy_counters& counters() const { return counters_; }
 
@@ -127,6 +129,8 @@
         std::int64_t caller_proxy_boot_ = 0;
         std::int64_t link_ = 0;
         bool handshake_done_ = false;
+        // End of the last reply to an attempt, in the bytes queued on the socket.
+        std::uint64_t replies_end_ = 0;
         // When the caller proxy began its last attempt here.
         base::instant last_attempt_at_{};
     };
@@ -188,6 +192,7 @@
     void dispatch_waiting(const std::string& target_key);
     void start(const std::string& target_key, target_proxy_attempt& attempt);
     void refuse(target_proxy_attempt& attempt, wire::refusal_reason reason);
+    static void send_reply(connection& link, const wire::frame& frame);
     void send_refusal(connection& link, const wire::attempt_ref& attempt,
                       wire::refusal_reason reason, const target_state* target,
                       base::duration retry_after);
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -168,7 +168,7 @@
     if (target != nullptr) {
         frame.refused_.__set_report(make_report(*target));
     }
-    link.socket_->send(frame);
+    send_reply(link, frame);
 }
 
 policy::waiting_request target_proxy::make_waiting_request(const target_state& target,
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
@@ -92,6 +93,14 @@
     return fd;
 }
 
+// Runs the loop until `condition` holds, which is checked with every round of events.
+template <typename holds>
+void run_until(net::event_loop& loop, holds condition) {
+    while (!condition()) {
+        loop.run_once();
+    }
+}
+
 }  // namespace
 
 TEST_CASE("the end of a connection for frames is reported with its cause", "[net][contract]") {
@@ -157,3 +166,37 @@
     CHECK(client_traffic.received_ == net::bytes_by_kind{});
     CHECK(server_traffic.sent_ == net::bytes_by_kind{});
 }
+
+// Guards against: bytes counted as sent while only the kernel of the sender had them.
+TEST_CASE("bytes count as delivered once the peer's system has them", "[net][contract]") {
+    // More than a socket that nobody reads receives, but less than one sends ahead.
+    constexpr std::size_t body_bytes = 700'000;
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const base::address address{support::loopback_ip(92), 18998};
+    end_recorder recorder(*loop);
+    net::frame_traffic traffic;
+    const auto server =
+        std::move(net::frame_server::create(*loop, address, recorder, traffic,
+                                            [&](std::unique_ptr<net::frame_socket> socket) {
+                                                recorder.socket_ = std::move(socket);
+                                            })
+                      .value());
+    const int fd = connect_to(address);
+    run_until(*loop, [&] { return recorder.socket_ != nullptr; });
+    net::frame_socket& socket = *recorder.socket_;
+    CHECK(socket.has_delivered(socket.bytes_queued()));
+    wire::frame frame;
+    frame.__isset.body_ = true;
+    frame.body_.bytes = std::string(body_bytes, 'b');
+    socket.send(frame);
+    CHECK(socket.bytes_queued() > body_bytes);
+    run_until(*loop, [&] { return socket.all_sent(); });
+    CHECK_FALSE(socket.has_delivered(socket.bytes_queued()));
+    std::array<char, 65536> buffer{};
+    run_until(*loop, [&] {
+        recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return socket.has_delivered(socket.bytes_queued());
+    });
+    close(fd);
+}
