Wait in a planned stop for caller proxies that have lost their link

Callers saw: orders that had run were answered 504 "unknown", because the link between the two hosts was lost while the target's host stopped.

Cause: responses of runs that end without a link are kept for the next one, but a stop counted them as done: the process ended some 150 ms later. A caller proxy opens its next link 100 to 400 ms after the loss, found no process, and later another boot that knows nothing of the run.

Now a target proxy notes when replies to a caller proxy were lost with their link (not acknowledged when it closed, not sent for lack of a link, or not fully sent), and a stop waits up to 2 s for the caller proxy to ask for them, within the time at which it ends anyway.

--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -124,6 +124,7 @@
     deferred_close_.cancel();
     write_retry_.cancel();
     if (wsi_ != nullptr) {
+        unacknowledged_at_close_ = unacknowledged();
         shutdown(fd_, SHUT_RDWR);
         lws_set_opaque_user_data(wsi_, nullptr);
         lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
@@ -142,8 +143,11 @@
 }
 
 std::size_t byte_socket::unacknowledged() const {
+    if (wsi_ == nullptr) {
+        return unacknowledged_at_close_;
+    }
     int in_kernel = 0;
-    const bool known = wsi_ != nullptr && ioctl(fd_, SIOCOUTQ, &in_kernel) == 0;
+    const bool known = ioctl(fd_, SIOCOUTQ, &in_kernel) == 0;
     return unsent() + (known ? static_cast<std::size_t>(in_kernel) : 0);
 }
 
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -83,7 +83,8 @@
     // Returns the number of queued bytes that are not yet sent.
     std::size_t unsent() const { return output_.size() - written_; }
 
-    // Returns the number of queued bytes that the peer's system has not acknowledged yet.
+    // Returns the number of queued bytes that the peer's system has not acknowledged yet, or had
+    // not when the connection was closed.
     std::size_t unacknowledged() const;
 
 private:
@@ -111,6 +112,7 @@
     // Bytes to send, of which the first `written_` are sent.
     std::string output_;
     std::size_t written_ = 0;
+    std::size_t unacknowledged_at_close_ = 0;
     keepalive_options keepalive_;
     bool open_ = false;
     bool paused_ = false;
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -67,7 +67,8 @@
     // Returns the number of bytes that were queued so far, sent or not.
     std::uint64_t bytes_queued() const;
 
-    // Returns true if the peer's system has acknowledged the first `bytes` of the queued bytes.
+    // Returns true if the peer's system has acknowledged the first `bytes` of the queued bytes, or
+    // had when the connection was closed.
     bool has_delivered(std::uint64_t bytes) const;
 
     void on_open() override { events_.on_open(*this); }
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -20,6 +20,9 @@
 // The records of a caller proxy are evicted after this time without a link, which is far longer
 // than any request may take.
 constexpr base::duration max_disconnected_time = base::seconds(1800);
+// Within this time a caller proxy that has lost its link has most likely opened a new one and asked
+// for the replies that it lacks.
+constexpr base::duration max_reconnect_wait = base::seconds(2);
 
 wire::attempt_state to_wire_state(policy::attempt_status status) {
     switch (status) {
@@ -102,10 +105,15 @@
 }
 
 bool target_proxy::all_delivered() const {
-    return std::all_of(connections_.begin(), connections_.end(), [](const auto& entry) {
-        const connection& link = entry.second;
-        return link.socket_->all_sent() && link.socket_->has_delivered(link.replies_end_);
-    });
+    const base::instant now = loop_.clock().now();
+    const bool awaits_caller_proxy =
+        std::any_of(replies_lost_at_.begin(), replies_lost_at_.end(),
+                    [&](const auto& lost) { return now - lost.second < max_reconnect_wait; });
+    return !awaits_caller_proxy &&
+           std::all_of(connections_.begin(), connections_.end(), [](const auto& entry) {
+               const connection& link = entry.second;
+               return link.socket_->all_sent() && link.socket_->has_delivered(link.replies_end_);
+           });
 }
 
 // Sends a frame that decides on an attempt or carries its response.
@@ -192,6 +200,9 @@
     if (lost.handshake_done_) {
         links_.erase({lost.caller_proxy_boot_, lost.link_});
         disconnected_since_[lost.caller_proxy_boot_] = loop_.clock().now();
+        if (!lost.socket_->has_delivered(lost.replies_end_)) {
+            replies_lost_at_[lost.caller_proxy_boot_] = loop_.clock().now();
+        }
         end_link_attempts({lost.caller_proxy_boot_, lost.link_});
     }
     loop_.defer([owned = std::shared_ptr<net::frame_socket>(std::move(lost.socket_))] {});
@@ -227,6 +238,7 @@
         attempt->cancel();
     }
     for (target_proxy_attempt* attempt : ended) {
+        replies_lost_at_[key.caller_proxy_boot_] = loop_.clock().now();
         finish(*attempt);
     }
 }
@@ -349,6 +361,7 @@
                 {link.caller_proxy_boot_, link.link_});
         }
     }
+    replies_lost_at_.erase(link.caller_proxy_boot_);
 }
 
 // Sends the response to an attempt of a lost link on the link that requested the attempt's status,
@@ -384,6 +397,8 @@
 // day, so these records would accumulate otherwise.
 void target_proxy::expire_disconnected_caller_proxies() {
     const base::instant now = loop_.clock().now();
+    std::erase_if(replies_lost_at_,
+                  [&](const auto& lost) { return now - lost.second >= max_reconnect_wait; });
     std::erase_if(disconnected_since_, [&](const auto& disconnected) {
         const std::int64_t boot = disconnected.first;
         const auto open_link = links_.lower_bound({boot, 0});
@@ -425,10 +440,12 @@
         return false;
     }
     connection* link = find_link({attempt.key().caller_proxy_boot_, attempt.key().attempt_.link_});
-    if (link != nullptr) {
-        send_reply(*link, frame);
+    if (link == nullptr) {
+        replies_lost_at_[attempt.key().caller_proxy_boot_] = loop_.clock().now();
+        return false;
     }
-    return link != nullptr;
+    send_reply(*link, frame);
+    return true;
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -79,7 +79,8 @@
 
     // Returns true if no link has bytes queued for sending, and all replies to attempts have
     // reached the systems of their caller proxies. What the kernel still holds when the process
-    // ends is lost if the peer sends anything after that, such as a ping.
+    // ends is lost if the peer sends anything after that, such as a ping. A caller proxy that has
+    // lost its link with replies on it is given some time to ask for them.
     bool all_delivered() const;
 
     const target_proxy_counters& counters() const { return counters_; }
@@ -257,6 +258,9 @@
     // opens a new link, and by the periodic expiry if it has a link open or its records were
     // evicted.
     std::map<std::int64_t, base::instant> disconnected_since_;
+    // When a reply to each caller proxy was last lost with its link, keyed by its boot. A caller
+    // proxy is removed when it asks for the replies on a new link.
+    std::map<std::int64_t, base::instant> replies_lost_at_;
     net::timer expiry_timer_;
     net::timer check_timer_;
     base::random_engine random_;
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -193,10 +193,16 @@
     CHECK(socket.bytes_queued() > body_bytes);
     run_until(*loop, [&] { return socket.all_sent(); });
     CHECK_FALSE(socket.has_delivered(socket.bytes_queued()));
-    std::array<char, 65536> buffer{};
-    run_until(*loop, [&] {
-        recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
-        return socket.has_delivered(socket.bytes_queued());
-    });
+    SECTION("the peer reads") {
+        std::array<char, 65536> buffer{};
+        run_until(*loop, [&] {
+            recv(fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            return socket.has_delivered(socket.bytes_queued());
+        });
+    }
+    SECTION("the connection is closed") {
+        socket.close();
+        CHECK_FALSE(socket.has_delivered(socket.bytes_queued()));
+    }
     close(fd);
 }
--- a/tests/process_stop_link_test.cpp
+++ b/tests/process_stop_link_test.cpp
@@ -60,3 +60,37 @@
     }
     CHECK(fleet.host("h2").wait() == 0);
 }
+
+// Guards against: a stopping host ended right after a link was lost, before the caller proxy could
+// open a new one and ask for the responses, and orders that had run were answered as unknown.
+TEST_CASE("a stopping host waits for a caller proxy that has lost its link",
+          "[planned-stop-link]") {
+    constexpr int request_count = 3;
+    constexpr std::chrono::milliseconds refused_for(400);
+    fleet fleet(relayed_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(3)});
+    std::vector<std::future<caller_response>> responses;
+    responses.reserve(request_count);
+    for (int i = 0; i < request_count; ++i) {
+        responses.push_back(
+            send_in_background(order_request(fleet, "h1", "o" + std::to_string(i), "POST")));
+    }
+    REQUIRE(wait_for([&] { return fleet.target("t1").total_runs() == request_count; }));
+    fleet.host("h2").send_signal(SIGTERM);
+    REQUIRE(wait_for([&] { return fleet.log_of("h2").find("draining") != std::string::npos; }));
+    // The runs end on a link that is lost, and for a while no new one can be opened.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    fleet.relay_of("h2").refuse_new_links(true);
+    fleet.relay_of("h2").hold_open_links(relay_direction::to_caller_proxy);
+    REQUIRE(wait_for([&] { return fleet.log_of("h1").find("link_lost") != std::string::npos; }));
+    REQUIRE(wait_for([&] { return fleet.target("t1").in_flight() == 0; }));
+    std::this_thread::sleep_for(refused_for);
+    fleet.relay_of("h2").refuse_new_links(false);
+    for (std::future<caller_response>& pending : responses) {
+        const caller_response response = pending.get();
+        CAPTURE(response.status_, response.outcome(), response.reason());
+        CHECK(response.status_ == 200);
+    }
+    CHECK(fleet.host("h2").wait() == 0);
+}
