Test a restart, and a list that one host alone has, over narrow links

No test had links on which bytes take time. Change: a relay may limit what its links carry together in each direction, and counts it; store_fleet may put such a relay before each host and lengthen the entries. process_spread_test: 40 processes, links of 256 kB/s, a list of 39 kB, so that a copy for each host takes about 6 s of one link. One host is restarted beside traffic, once with the same lines at a higher revision, once with a list that the stores of all others lack. No link may be lost as silent, each request is answered with 200, and the bytes are bounded by four lists, 5 kB/s and, for a changed list, a quarter of the link.

--- a/tests/support/store_fleet.cpp
+++ b/tests/support/store_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint16_t target_port = 19001;
 // The stubs of the store have addresses of their own, from this number on.
 constexpr std::size_t first_store_number = 100;
+// So have the listeners for peers of hosts that are reached through a relay.
+constexpr std::size_t first_relayed_number = 200;
 
 constexpr const char* caller_key = "bends-secret";
 
@@ -48,10 +50,12 @@
 
 }  // namespace
 
-store_fleet::store_fleet(std::vector<std::string> services, int slots, std::string extra_settings)
+store_fleet::store_fleet(std::vector<std::string> services, int slots, std::string extra_settings,
+                         std::optional<narrow_links> links)
     : services_(std::move(services)),
       slots_(slots),
       extra_settings_(std::move(extra_settings)),
+      links_(links),
       directory_(make_test_directory()) {
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         stores_.push_back(std::make_unique<store_stub>(store_address(host)));
@@ -59,6 +63,11 @@
         targets_.push_back(
             std::make_unique<target_stub>("i-" + std::to_string(host), target_address(host)));
         set_target(host, {});
+        if (links_) {
+            relays_.push_back(std::make_unique<relay>(base::address{loopback_ip(host), peers_port},
+                                                      base::address{peers_ip(host), peers_port},
+                                                      links_->bytes_per_second_));
+        }
     }
     for (std::size_t host = 1; host <= services_.size(); ++host) {
         write_entry(host, "ready");
@@ -97,16 +106,19 @@
     constexpr std::int64_t first_start_ms = 1'700'000'000'000;
     const auto starts = target_starts_.find(host);
     const std::int64_t restarts = starts == target_starts_.end() ? 0 : starts->second;
-    return json{{"service", services_.at(host - 1)},
-                {"address", base::to_string(target_address(host))},
-                {"zone", "z1"},
-                {"version", "v1"},
-                {"slots", slots_},
-                {"state", state},
-                {"warmupLeftS", 0},
-                {"seq", entry_sequence_},
-                {"born", first_start_ms + restarts}}
-        .dump();
+    json entry = {{"service", services_.at(host - 1)},
+                  {"address", base::to_string(target_address(host))},
+                  {"zone", "z1"},
+                  {"version", "v1"},
+                  {"slots", slots_},
+                  {"state", state},
+                  {"warmupLeftS", 0},
+                  {"seq", entry_sequence_},
+                  {"born", first_start_ms + restarts}};
+    if (links_) {
+        entry["padding"] = std::string(links_->entry_padding_bytes_, 'x');
+    }
+    return entry.dump();
 }
 
 void store_fleet::write_entry(std::size_t host, const std::string& state) {
@@ -173,6 +185,10 @@
     return request;
 }
 
+std::string store_fleet::peers_ip(std::size_t host) const {
+    return loopback_ip(links_ ? first_relayed_number + host : host);
+}
+
 std::string store_fleet::write_settings(std::size_t host) const {
     std::string file = directory_ + "/h" + std::to_string(host) + ".ini";
     const auto address_at = [&](std::uint16_t port) {
@@ -181,7 +197,8 @@
     std::ofstream out(file);
     out << "[host]\nname = " << loopback_ip(host) << "\nzone = z1\nregions = z1:r1\n"
         << "[listen]\ncallers = " << address_at(callers_port)
-        << "\npeers = " << address_at(peers_port) << "\nadmin = " << address_at(admin_port)
+        << "\npeers = " << base::to_string({peers_ip(host), peers_port})
+        << "\nadmin = " << address_at(admin_port)
         << "\n[target]\naddress = " << base::to_string(target_address(host))
         << "\nservice = " << services_.at(host - 1)
         << "\n[platform]\nform = store\naddress = " << base::to_string(store_address(host))
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -5,17 +5,27 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "support/caller.h"
 #include "support/local.h"
 #include "support/process.h"
+#include "support/relay.h"
 #include "support/store_stub.h"
 #include "support/target_stub.h"
 
 namespace dandelionridge::support {
 
+// Links whose bytes take their time.
+struct narrow_links {
+    // What all links that the others open to one host carry together, in each direction.
+    std::size_t bytes_per_second_ = 0;
+    // Bytes added to each entry, which make a list of a few hosts as long as that of many.
+    std::size_t entry_padding_bytes_ = 0;
+};
+
 // Hosts are numbered from 1. Host N has the target "i-N" and reads the store through a stub of its
 // own, so that the store can fail for one host or lag there. All hosts are in zone z1.
 class store_fleet {
@@ -24,9 +34,9 @@
     // S.example/reads/ (idempotent), S.example/orders/ (non-idempotent), and S.example/calls/
     // (idempotent, without a key).
     // `slots` is the number of slots of each target. `extra_settings` is appended to every settings
-    // file, in its section [times].
+    // file, in its section [times]. With `links`, each host is reached through a relay.
     explicit store_fleet(std::vector<std::string> services, int slots = 20,
-                         std::string extra_settings = "");
+                         std::string extra_settings = "", std::optional<narrow_links> links = {});
     store_fleet(const store_fleet&) = delete;
     store_fleet& operator=(const store_fleet&) = delete;
     ~store_fleet();
@@ -44,6 +54,8 @@
     process& host(std::size_t number) { return *processes_.at(number); }
     store_stub& store_of(std::size_t host) { return *stores_.at(host - 1); }
     target_stub& target(std::size_t host) { return *targets_.at(host - 1); }
+    // The relay through which a host is reached over narrow links.
+    relay& relay_of(std::size_t host) { return *relays_.at(host - 1); }
 
     // Makes the next entry of a host's target that of a later start of it.
     void restart_target(std::size_t host) { ++target_starts_[host]; }
@@ -90,6 +102,8 @@
 
 private:
     std::string admin(std::size_t host, const std::string& path) const;
+    // Returns the IP address at which a host's process listens for peers.
+    std::string peers_ip(std::size_t host) const;
     std::string write_settings(std::size_t host) const;
     void launch(std::size_t host);
     void wait_until_serving(std::size_t host) const;
@@ -97,10 +111,13 @@
     std::vector<std::string> services_;
     int slots_;
     std::string extra_settings_;
+    std::optional<narrow_links> links_;
     std::string directory_;
     // By host, from host 1 on.
     std::vector<std::unique_ptr<store_stub>> stores_;
     std::vector<std::unique_ptr<target_stub>> targets_;
+    // Empty without narrow links.
+    std::vector<std::unique_ptr<relay>> relays_;
     std::map<std::size_t, std::unique_ptr<process>> processes_;
     // Number of restarts of each host's target.
     std::map<std::size_t, std::int64_t> target_starts_;
