Count a host's word that it is busy with the configuration

Cause: the frame that refuses a pull is newer than the counters, so its bytes were counted as other. Change: it counts as configuration, as the pulls that it answers. The new test failed before on that frame (1 of its 5 checks) and passes now.

--- a/src/net/frame_traffic.cpp
+++ b/src/net/frame_traffic.cpp
@@ -18,8 +18,8 @@
 }
 
 bool is_configuration_frame(const wire::frame& frame) {
-    return frame.__isset.pull_ || frame.__isset.update_ || frame.__isset.view_question_ ||
-           frame.__isset.view_answer_;
+    return frame.__isset.pull_ || frame.__isset.update_ || frame.__isset.busy_ ||
+           frame.__isset.view_question_ || frame.__isset.view_answer_;
 }
 
 bool is_quota_frame(const wire::frame& frame) {
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -206,3 +206,17 @@
     }
     close(fd);
 }
+
+// Guards against: a host's word that it is busy with copies of its configuration was counted apart
+// from them.
+TEST_CASE("all frames about the configuration are of one kind", "[net][contract]") {
+    std::vector<wire::frame> frames(5);
+    frames.at(0).__isset.pull_ = true;
+    frames.at(1).__isset.update_ = true;
+    frames.at(2).__isset.busy_ = true;
+    frames.at(3).__isset.view_question_ = true;
+    frames.at(4).__isset.view_answer_ = true;
+    for (const wire::frame& frame : frames) {
+        CHECK(net::kind_of(frame) == net::frame_kind::configuration);
+    }
+}
