Limit the time for the rest of a response also once it arrives

Cause: ended the timer when a response was sent again after a lost link. Change: the timer starts again with the service's whole time, which a response that moves has met with so far.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -101,6 +101,7 @@
                        bool budget_exempt = false);
     void await_resolution();
     void on_decision_due();
+    void start_rest_timer();
     policy::retry_context make_retry_context(policy::attempt_outcome outcome) const;
     void end_without_retry(policy::retry_decision decision, filter::reason reason);
     void on_deadline();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -336,7 +336,13 @@
         resume_or_abort();
         return;
     }
-    // The rest of the response is requested from the target proxy; the wait for it is limited.
+    // The rest of the response is requested from the target proxy.
+    start_rest_timer();
+}
+
+// Limits the time for the rest of a response that broke off with its link. A second loss of a link
+// is not reported, so the time is also limited once the rest arrives.
+void call::start_rest_timer() {
     deadline_timer_.start(context_.service_->timeout_, [this] { on_deadline(); });
 }
 
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -50,7 +50,7 @@
     if (head_sent_) {
         // The response is resent after a lost link: the bytes that the caller has are skipped.
         skip_bytes_ = forwarded_bytes_;
-        deadline_timer_.cancel();
+        start_rest_timer();
         return;
     }
     // After a lost link a failure that was received in part is sent again.
