End links of before a pause as soon as the pause is found

What callers saw: after a freeze of a host, reads through it ended with 504 answer_lost some 0.1 s after they came, with most of their time left; beside a planned stop that is a lost request.

Cause: frame_socket compared the loop's pause count only when bytes arrived or had been sent. A link that was idle during the freeze was found outdated by the first request that was written to it, after it was written, so that request was lost with the link. Both ends were concerned: a host that waked also kept the links that it had accepted until their next frame.

Change: the loop tells its pause listeners once it finds a pause, and each frame socket of before the pause is closed, idle or not. Until that has happened, peer_link asks the socket before it writes an attempt or a control frame. A pause of this process says nothing about the peer, so such a link is reopened at once and does not count as a failed one.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <utility>
+#include <vector>
 
 #include "net/protocols.h"
 
@@ -142,10 +143,22 @@
         if (stall_handler_) {
             stall_handler_();
         }
+        defer([this] { notify_pause_listeners(); });
     }
     return pauses_;
 }
 
+// Listeners that are removed meanwhile are not called, and those that are added did not exist
+// during the pause.
+void event_loop::notify_pause_listeners() {
+    const std::vector<pause_listener*> listeners(pause_listeners_.begin(), pause_listeners_.end());
+    for (pause_listener* listener : listeners) {
+        if (pause_listeners_.contains(listener)) {
+            listener->on_pause();
+        }
+    }
+}
+
 void event_loop::on_heartbeat() {
     if (clock_.now() - last_heartbeat_ > stall_threshold && stall_handler_) {
         stall_handler_();
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -28,6 +29,16 @@
 
 class timer;
 
+// Receives the pauses of the process that the loop finds.
+class pause_listener {
+public:
+    virtual ~pause_listener() = default;
+
+    // The process was paused. Called once for each pause, from the loop and not from within another
+    // call. Listeners may be added and removed meanwhile.
+    virtual void on_pause() = 0;
+};
+
 // Owns the libwebsockets context. Sockets and timers belong to one loop and may be used only from
 // the thread that runs it. Only post() and stop() may be called from other threads.
 class event_loop {
@@ -66,10 +77,14 @@
     // stall_threshold. It may be called twice for one stall.
     void set_stall_handler(std::function<void()> handler) { stall_handler_ = std::move(handler); }
 
-    // Returns the number of pauses of this process found so far. Checks for a new pause first, and
-    // calls the stall handler if it finds one.
+    // Returns the number of pauses of this process found so far. Checks for a new pause first. If
+    // it finds one, it calls the stall handler, and the pause listeners after the current event.
     std::uint64_t pause_count();
 
+    // A listener must be removed before it is destroyed.
+    void add_pause_listener(pause_listener& listener) { pause_listeners_.insert(&listener); }
+    void remove_pause_listener(pause_listener& listener) { pause_listeners_.erase(&listener); }
+
 private:
     friend class timer;
     friend int on_timer_event(lws* wsi, lws_callback_reasons reason, void* user, void* in,
@@ -81,6 +96,7 @@
     void arm_timer_fd();
     void on_timer_fd();
     void on_heartbeat();
+    void notify_pause_listeners();
 
     const base::runtime_clock& clock_;
     lws_context* context_ = nullptr;
@@ -97,6 +113,7 @@
     std::unique_ptr<timer> heartbeat_;
     base::instant last_heartbeat_;
     std::uint64_t pauses_ = 0;
+    std::set<pause_listener*> pause_listeners_;
     std::function<void()> stall_handler_;
 };
 
--- a/src/net/frame_socket.cpp
+++ b/src/net/frame_socket.cpp
@@ -7,7 +7,9 @@
 namespace dandelionridge::net {
 
 frame_socket::frame_socket(event_loop& loop, frame_socket_events& events, frame_traffic& traffic)
-    : loop_(loop), events_(events), traffic_(traffic), pauses_at_creation_(loop.pause_count()) {}
+    : loop_(loop), events_(events), traffic_(traffic), pauses_at_creation_(loop.pause_count()) {
+    loop_.add_pause_listener(*this);
+}
 
 std::unique_ptr<frame_socket> frame_socket::connect(event_loop& loop, const base::address& peer,
                                                     frame_socket_events& events,
@@ -17,9 +19,12 @@
     return socket;
 }
 
-frame_socket::~frame_socket() = default;
+frame_socket::~frame_socket() {
+    loop_.remove_pause_listener(*this);
+}
 
 void frame_socket::close() {
+    loop_.remove_pause_listener(*this);
     if (socket_ != nullptr) {
         socket_->close();
     }
@@ -43,9 +48,9 @@
 }
 
 void frame_socket::on_bytes(std::string_view bytes) {
-    if (loop_.pause_count() != pauses_at_creation_) {
+    if (is_outdated()) {
         // Frames that arrived during a pause may be long out of date, so none of them is processed.
-        disconnect("paused");
+        disconnect(closed_by_pause);
         return;
     }
     bytes_received_ += bytes.size();
@@ -66,12 +71,19 @@
 
 void frame_socket::on_sent(std::size_t bytes) {
     bytes_sent_ += bytes;
-    if (loop_.pause_count() != pauses_at_creation_) {
-        disconnect("paused");
+    if (is_outdated()) {
+        disconnect(closed_by_pause);
+    }
+}
+
+void frame_socket::on_pause() {
+    if (is_outdated()) {
+        disconnect(closed_by_pause);
     }
 }
 
 void frame_socket::on_closed(close_reason reason) {
+    loop_.remove_pause_listener(*this);
     events_.on_closed(*this,
                       reason == close_reason::connection_lost ? "connection lost" : closed_by_peer);
 }
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -1,5 +1,6 @@
 // TCP connections that carry frames between processes, and the listener that accepts them. A
-// connection that was open during a pause of this process is closed.
+// connection that was open during a pause of this process is closed as soon as the pause is found,
+// whether it is in use or not.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +23,9 @@
 // Cause of an orderly end, as opposed to those that are worth a line in the log.
 inline constexpr std::string_view closed_by_peer = "closed";
 
+// Cause of the end of a connection that was open during a pause of this process.
+inline constexpr std::string_view closed_by_pause = "paused";
+
 // Receives the events of a socket. The socket may be closed, but not destroyed, from within these
 // calls.
 class frame_socket_events {
@@ -40,7 +44,7 @@
 };
 
 // One connection. Its destructor closes it and discards unread and unsent bytes.
-class frame_socket final : public byte_socket_events {
+class frame_socket final : public byte_socket_events, public pause_listener {
 public:
     // Starts to connect. Reports the result to `events` later, never from within this call. Adds
     // the bytes that are exchanged to `traffic`, which must outlive the socket.
@@ -58,6 +62,11 @@
     void close();
 
     bool is_open() const { return socket_ != nullptr && socket_->is_open(); }
+
+    // Returns true if this process was paused since the socket was created. What is sent on it is
+    // lost, because the socket is about to be closed.
+    bool is_outdated() const { return loop_.pause_count() != pauses_at_creation_; }
+
     std::uint64_t bytes_sent() const { return bytes_sent_; }
     std::uint64_t bytes_received() const { return bytes_received_; }
 
@@ -76,6 +85,8 @@
     void on_sent(std::size_t bytes) override;
     void on_closed(close_reason reason) override;
 
+    void on_pause() override;
+
 private:
     friend class frame_server;
 
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -59,6 +59,7 @@
 
 void peer_link::start(wire::attempt_begin begin, attempt_events& events) {
     last_used_ = loop_.clock().now();
+    end_outdated_link();
     pending_attempt pending{std::move(begin), &events};
     if (is_open()) {
         write(std::move(pending));
@@ -110,6 +111,7 @@
 
 void peer_link::send_control(wire::frame frame) {
     last_used_ = loop_.clock().now();
+    end_outdated_link();
     control_sent_ = true;
     if (is_open()) {
         send(frame);
@@ -203,8 +205,12 @@
             found->second->on_in_doubt();
         }
     }
-    failures_ = std::min(failures_ + 1, max_reconnect_doublings);
-    reconnect_timer_.start(base_reconnect_delay * (1 << failures_), [this] {
+    // A pause of this process says nothing about the peer.
+    const bool peer_failed = cause != net::closed_by_pause;
+    failures_ = peer_failed ? std::min(failures_ + 1, max_reconnect_doublings) : 0;
+    const base::duration delay =
+        peer_failed ? base_reconnect_delay * (1 << failures_) : base::duration::zero();
+    reconnect_timer_.start(delay, [this] {
         const bool needed = keep_open_ || !sent_attempts_.unsettled_.empty() || !pending_.empty();
         if (needed && socket_ == nullptr) {
             connect();
@@ -215,6 +221,14 @@
     });
 }
 
+// Ends the link if it was open during a pause of this process: it is about to be closed, and what
+// is sent on it would be lost.
+void peer_link::end_outdated_link() {
+    if (socket_ != nullptr && socket_->is_outdated()) {
+        handle_link_lost(net::closed_by_pause);
+    }
+}
+
 // Ends the attempts that were never written to a link: they did not run.
 void peer_link::fail_pending() {
     const std::deque<pending_attempt> failed = std::exchange(pending_, {});
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -79,7 +79,8 @@
 };
 
 // The links to one peer. At most one is open at a time. While a link is needed, a lost one is
-// reopened after a delay that grows with each consecutive failure.
+// reopened after a delay that grows with each consecutive failure, or at once if it was lost by a
+// pause of this process.
 class peer_link final : public net::frame_socket_events {
 public:
     peer_link(net::event_loop& loop, const link_identity& identity, net::frame_traffic& traffic,
@@ -144,6 +145,7 @@
 
     void connect();
     void handle_link_lost(std::string_view cause);
+    void end_outdated_link();
     void fail_pending();
     void write(pending_attempt pending);
     void on_welcome(const wire::welcome& welcome);
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -137,6 +137,34 @@
     }
 }
 
+// Guards against: a connection that was idle during a pause was closed only with the next frame,
+// and that frame was lost.
+TEST_CASE("an idle connection is closed once the process finds that it was paused",
+          "[net][contract]") {
+    base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const base::address address{support::loopback_ip(92), 18995};
+    end_recorder recorder(*loop);
+    net::frame_traffic traffic;
+    const auto server =
+        std::move(net::frame_server::create(*loop, address, recorder, traffic,
+                                            [&](std::unique_ptr<net::frame_socket> socket) {
+                                                recorder.socket_ = std::move(socket);
+                                            })
+                      .value());
+    const int fd = connect_to(address);
+    run_until(*loop, [&] { return recorder.socket_ != nullptr; });
+    CHECK_FALSE(recorder.socket_->is_outdated());
+    clock.pause();
+    clock.advance(net::pause_threshold + base::milliseconds(1));
+    CHECK(recorder.socket_->is_outdated());
+    CHECK(recorder.socket_->is_open());
+    loop->run_deferred();
+    CHECK(recorder.cause_ == net::closed_by_pause);
+    CHECK_FALSE(recorder.socket_->is_open());
+    close(fd);
+}
+
 // Guards against: nobody could tell whether a host whose links were silent was busy sending its
 // configuration, because the bytes of all frames were counted together.
 TEST_CASE("the bytes that a connection exchanges are counted by the kind of their frames",
