Log why the quota refuses a request, and when an owner acts

Callers were refused inside their rate where hosts froze or were lost, and no log line or metric said by whom and why. One event `quota_refused` for each refusal now names the owner asked and its rank, the cause, the hosts reached, how many requests waited and how long this one did, and Retry-After; `quota_owner_started` and `quota_owner_stopped` say when and why a host acts as owner. Both are bounded per second. Counters on /metrics give tokens and refusals by cause. The causes come from what the requester knows; the messages between hosts are unchanged.

The event `refused` held Retry-After in `ms`. It is `retry_after_ms` now; the time since the request came is `elapsed_ms` (`age_ms` before) in all events of a request, and the remaining time that the other events held in `ms` is `time_left_ms`. No test or script read the old names.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+std::string_view to_text(quota_refusal_cause cause) {
+    switch (cause) {
+        case quota_refusal_cause::owner_limit:
+            return "owner_limit";
+        case quota_refusal_cause::own_share:
+            return "own_share";
+        case quota_refusal_cause::no_reply:
+            return "no_reply";
+    }
+    return "";
+}
+
 fleet_quota::fleet_quota(const base::runtime_clock& clock, const configuration& configuration,
                          peer_sender& peers, std::string host, policy::quota_tolerance tolerance)
     : clock_(clock),
@@ -52,10 +64,13 @@
     }
     if (state.pending_request_id_ == 0 && now + max_wait < state.retry_at_) {
         // According to the owner, no token becomes available before the request must be refused.
-        listener.on_over_rate(state.retry_at_ - now);
+        const base::duration retry_after = state.retry_at_ - now;
+        report_refusal(organisation, state, state.missing_cause_, {&listener, now + max_wait, now},
+                       state.waiting_.size() + 1, retry_after);
+        listener.on_over_rate(retry_after);
         return;
     }
-    state.waiting_.push_back({&listener, now + max_wait});
+    state.waiting_.push_back({&listener, now + max_wait, now});
     request_tokens(organisation, state);
 }
 
@@ -157,6 +172,7 @@
     const auto waiting = static_cast<std::int64_t>(state.waiting_.size());
     const policy::quota_limit limit = limit_of(organisation);
     state.requested_at_ = now;
+    state.missing_cause_ = quota_refusal_cause::own_share;
     on_tokens_granted(organisation, state,
                       policy::grant_own_share(
                           own_share_[organisation], limit, std::max<std::size_t>(1, hosts_.size()),
@@ -165,6 +181,7 @@
 
 void fleet_quota::on_stall() {
     for (auto& [organisation, owner] : owned_) {
+        report_owner_change(organisation, owner.acting_, false, true);
         policy::stop_acting(owner);
     }
 }
@@ -232,8 +249,13 @@
             ? found->second
             : owned_.emplace(request.organisation, policy::make_owner(limit, started_at_))
                   .first->second;
+    const bool was_acting = found != owned_.end() && owner.acting_;
     const policy::quota_grant granted = policy::grant_tokens(
         owner, limit, reachability_for(request.organisation), request.tokens, clock_.now());
+    report_owner_change(request.organisation, was_acting, owner.acting_, false);
+    counters_.granted_tokens_ += static_cast<std::uint64_t>(granted.tokens_);
+    counters_.missing_tokens_.at(static_cast<std::size_t>(granted.cause_)) +=
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, request.tokens - granted.tokens_));
     reply.tokens = static_cast<std::int32_t>(granted.tokens_);
     reply.granting = granted.granting_;
     reply.retry_after_ms = static_cast<std::int32_t>(base::whole_ms(granted.retry_after_));
@@ -257,6 +279,7 @@
         request_tokens_from_rank(organisation, state);
         return;
     }
+    state.missing_cause_ = quota_refusal_cause::owner_limit;
     on_tokens_granted(organisation, state,
                       {grant.tokens, base::milliseconds(grant.retry_after_ms), true});
 }
@@ -270,7 +293,7 @@
         return;
     }
     state.retry_at_ = now + std::max(grant.retry_after_, min_retry_delay);
-    refuse_infeasible(states_[organisation]);
+    refuse_infeasible(organisation, states_[organisation]);
 }
 
 void fleet_quota::admit_waiting(organisation_state& state, base::instant now) {
@@ -282,20 +305,57 @@
 }
 
 // Refuses the waiting requests whose deadline passes before another token request may be sent.
-void fleet_quota::refuse_infeasible(organisation_state& state) {
+void fleet_quota::refuse_infeasible(const std::string& organisation, organisation_state& state) {
     const base::instant now = clock_.now();
     const base::instant next = std::max(now, state.retry_at_);
-    std::vector<quota_listener*> refused;
+    const base::duration retry_after = std::max(min_retry_delay, next - now);
+    const quota_refusal_cause cause =
+        state.pending_request_id_ != 0 ? quota_refusal_cause::no_reply : state.missing_cause_;
+    const std::size_t waiting = state.waiting_.size();
+    std::vector<waiter> refused;
     std::erase_if(state.waiting_, [&](const waiter& queued) {
         const bool infeasible = queued.wait_deadline_ <= next;
         if (infeasible) {
-            refused.push_back(queued.listener_);
+            refused.push_back(queued);
         }
         return infeasible;
     });
-    for (quota_listener* listener : refused) {
-        listener->on_over_rate(std::max(min_retry_delay, next - now));
+    for (const waiter& queued : refused) {
+        report_refusal(organisation, state, cause, queued, waiting, retry_after);
+    }
+    for (const waiter& queued : refused) {
+        queued.listener_->on_over_rate(retry_after);
+    }
+}
+
+void fleet_quota::report_refusal(const std::string& organisation, const organisation_state& state,
+                                 quota_refusal_cause cause, const waiter& refused,
+                                 std::size_t waiting, base::duration retry_after) {
+    ++counters_.refused_requests_.at(static_cast<std::size_t>(cause));
+    if (observer_ == nullptr) {
+        return;
+    }
+    const std::vector<std::string>& owners = ranked_owners(organisation);
+    quota_refusal refusal;
+    refusal.organisation_ = organisation;
+    if (state.owner_rank_ < owners.size()) {
+        refusal.owner_ = owners[state.owner_rank_];
+    }
+    refusal.owner_rank_ = state.owner_rank_;
+    refusal.cause_ = cause;
+    refusal.reachability_ = reachability_for(organisation);
+    refusal.waiting_ = waiting;
+    refusal.retry_after_ = retry_after;
+    refusal.waited_ = clock_.now() - refused.queued_at_;
+    observer_->on_refusal(refusal);
+}
+
+void fleet_quota::report_owner_change(const std::string& organisation, bool was_acting, bool acting,
+                                      bool stalled) {
+    if (observer_ == nullptr || was_acting == acting) {
+        return;
     }
+    observer_->on_owner_change({organisation, acting, stalled, reachability_for(organisation)});
 }
 
 void fleet_quota::tick() {
@@ -316,7 +376,7 @@
         }
         request_tokens(organisation, state);
         if (!state.waiting_.empty() && state.waiting_.front().wait_deadline_ <= now) {
-            refuse_infeasible(state);
+            refuse_infeasible(organisation, state);
         }
     }
     std::erase_if(states_, [&](const auto& entry) {
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -16,6 +16,7 @@
 #include "control/configuration.h"
 #include "control/peer_sender.h"
 #include "control/quota.h"
+#include "control/quota_events.h"
 #include "policy/quota.h"
 #include "wire/gen/fleet_types.h"
 
@@ -30,6 +31,11 @@
                quota_listener& listener) override;
     void cancel(quota_listener& listener) override;
 
+    // Decisions are reported to `observer`, which must outlive this object.
+    void set_observer(quota_observer& observer) { observer_ = &observer; }
+
+    const quota_counters& counters() const { return counters_; }
+
     // Must be called whenever a new host list is in force. The owners are then ranked anew.
     void on_hosts_changed();
 
@@ -51,6 +57,7 @@
     struct waiter {
         quota_listener* listener_ = nullptr;
         base::instant wait_deadline_{};
+        base::instant queued_at_{};
     };
 
     // State of one organisation in this host's caller proxy.
@@ -64,6 +71,8 @@
         base::instant requested_at_{};
         // No further token request is sent before this time.
         base::instant retry_at_{};
+        // What kept the last request for tokens from getting all of them.
+        quota_refusal_cause missing_cause_ = quota_refusal_cause::owner_limit;
     };
 
     // A request for tokens that this host passed on for a host that did not reach the owner.
@@ -83,8 +92,13 @@
     void grant_from_own_share(const std::string& organisation, organisation_state& state);
     void on_tokens_granted(const std::string& organisation, organisation_state& state,
                            const policy::quota_grant& grant);
+    void report_refusal(const std::string& organisation, const organisation_state& state,
+                        quota_refusal_cause cause, const waiter& refused, std::size_t waiting,
+                        base::duration retry_after);
+    void report_owner_change(const std::string& organisation, bool was_acting, bool acting,
+                             bool stalled);
     static void admit_waiting(organisation_state& state, base::instant now);
-    void refuse_infeasible(organisation_state& state);
+    void refuse_infeasible(const std::string& organisation, organisation_state& state);
     policy::host_reachability reachability_for(const std::string& organisation) const;
     const std::vector<std::string>& ranked_owners(const std::string& organisation);
 
@@ -110,6 +124,8 @@
     std::vector<std::string> hosts_;
     mutable std::unordered_map<std::string, std::vector<std::string>> ranked_owners_;
     std::int64_t next_request_id_ = 1;
+    quota_counters counters_;
+    quota_observer* observer_ = nullptr;
 };
 
 }  // namespace dandelionridge::control
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -124,7 +124,9 @@
     void resume_or_abort();
     bool can_resume_elsewhere() const;
     void abort_response();
-    void record_event(const char* kind, const std::string& detail, base::duration number) const;
+    void record_event(const char* kind, const std::string& detail, base::duration time_left) const;
+    void record_event(const char* kind, const std::string& detail,
+                      observe::event_field field) const;
     base::duration time_left() const;
     base::duration run_time_left() const;
     base::duration min_time_left() const;
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -207,7 +207,7 @@
     record_event(
         "refused",
         std::to_string(refusal.status_) + " " + std::string(filter::to_text(refusal.reason_)),
-        refusal.retry_after_);
+        {"retry_after_ms", std::to_string(base::whole_ms(refusal.retry_after_))});
     net::http_response response;
     response.status_ = refusal.status_;
     response.headers_ = {
@@ -231,17 +231,23 @@
     net::send_response(exchange_, std::move(response), observe::json_text(body) + "\n");
 }
 
-// Records one event for a decision on this request.
-void call::record_event(const char* kind, const std::string& detail, base::duration number) const {
-    const base::duration age = owner_.dependencies_.loop_.clock().now() - started_at_;
+void call::record_event(const char* kind, const std::string& detail,
+                        base::duration time_left) const {
+    record_event(kind, detail, {"time_left_ms", std::to_string(base::whole_ms(time_left))});
+}
+
+// Records one event for a decision on this request, with one field that belongs to its kind.
+void call::record_event(const char* kind, const std::string& detail,
+                        observe::event_field field) const {
+    const base::duration elapsed = owner_.dependencies_.loop_.clock().now() - started_at_;
     owner_.dependencies_.events_.record(
         owner_.dependencies_.loop_.clock().wall_ms(), kind,
         {{"request", request_id_},
          {"route", context_.route_ == nullptr ? "" : context_.route_->name_},
          {"organisation", context_.organisation_},
          {"detail", detail},
-         {"ms", std::to_string(base::whole_ms(number))},
-         {"age_ms", std::to_string(base::whole_ms(age))},
+         std::move(field),
+         {"elapsed_ms", std::to_string(base::whole_ms(elapsed))},
          {"attempts", std::to_string(attempts_)},
          {"refusals", std::to_string(refusals_)},
          {"rules", std::to_string(context_.rules_->version_)}});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -82,7 +82,10 @@
                settings_.link_mbps_ * bytes_per_megabit}),
       quota_(clock, configuration_, *this, settings_.host_,
              {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}),
-      response_memory_{response_bytes_limit(settings_)} {}
+      quota_log_(clock, events_),
+      response_memory_{response_bytes_limit(settings_)} {
+    quota_.set_observer(quota_log_);
+}
 
 // Runs the deferred functions after each step, because a function deferred by a component may still
 // refer to it.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,7 @@
 #include "node/caller_proxy.h"
 #include "node/environment.h"
 #include "node/link_pool.h"
+#include "node/quota_log.h"
 #include "node/target_proxy.h"
 #include "observe/event.h"
 #include "observe/metrics.h"
@@ -92,6 +93,7 @@
     config::hosts_ptr recorded_hosts_;
     control::gossip gossip_;
     control::fleet_quota quota_;
+    quota_log quota_log_;
     // Memory for the bodies of the responses that this host's targets or its callers get.
     policy::response_memory response_memory_;
     // Bytes of the frames that this process has exchanged with its peers.
--- a/src/node/node_admin.cpp
+++ b/src/node/node_admin.cpp
@@ -31,6 +31,32 @@
     return counter;
 }
 
+observe::labelled_counter make_token_counter(const control::quota_counters& counters) {
+    observe::labelled_counter counter{"dandelionridge_quota_tokens_total",
+                                      "Tokens requested from this host as owner, by result.",
+                                      "cause",
+                                      {}};
+    for (std::size_t i = 0; i < counters.missing_tokens_.size(); ++i) {
+        counter.values_.emplace(policy::to_text(static_cast<policy::grant_cause>(i)),
+                                counters.missing_tokens_.at(i));
+    }
+    counter.values_[std::string(policy::to_text(policy::grant_cause::granted))] =
+        counters.granted_tokens_;
+    return counter;
+}
+
+observe::labelled_counter make_quota_refusal_counter(const control::quota_counters& counters) {
+    observe::labelled_counter counter{"dandelionridge_quota_refusals_total",
+                                      "Requests refused for want of a token, by cause.",
+                                      "cause",
+                                      {}};
+    for (std::size_t i = 0; i < counters.refused_requests_.size(); ++i) {
+        counter.values_.emplace(control::to_text(static_cast<control::quota_refusal_cause>(i)),
+                                counters.refused_requests_.at(i));
+    }
+    return counter;
+}
+
 }  // namespace
 
 base::result<bool> node::open_admin() {
@@ -136,7 +162,8 @@
         {make_byte_counter("dandelionridge_peer_sent_bytes_total",
                            "Bytes queued for peers, by kind of frame.", traffic_.sent_),
          make_byte_counter("dandelionridge_peer_received_bytes_total",
-                           "Bytes received from peers, by kind of frame.", traffic_.received_)});
+                           "Bytes received from peers, by kind of frame.", traffic_.received_),
+         make_token_counter(quota_.counters()), make_quota_refusal_counter(quota_.counters())});
 }
 
 }  // namespace dandelionridge::node
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -64,6 +64,22 @@
 
 }  // namespace
 
+std::string_view to_text(grant_cause cause) {
+    switch (cause) {
+        case grant_cause::granted:
+            return "granted";
+        case grant_cause::no_token:
+            return "no_token";
+        case grant_cause::window_used_up:
+            return "window_used_up";
+        case grant_cause::handover:
+            return "handover";
+        case grant_cause::not_acting:
+            return "not_acting";
+    }
+    return "";
+}
+
 double max_tokens_per_window(const quota_limit& limit) {
     return limit.rate_ * to_seconds(limit.tolerance_.window_) + static_cast<double>(limit.burst_);
 }
@@ -115,6 +131,7 @@
     if (share <= 0) {
         owner.acting_ = false;
         grant.retry_after_ = not_acting_retry_delay;
+        grant.cause_ = grant_cause::not_acting;
         return grant;
     }
     if (!owner.acting_) {
@@ -128,6 +145,7 @@
     expire_grants(owner, limit.tolerance_.window_, now);
     if (now < owner.grants_from_) {
         grant.retry_after_ = owner.grants_from_ - now;
+        grant.cause_ = grant_cause::handover;
         return grant;
     }
     const auto window_limit =
@@ -141,8 +159,10 @@
         owner.tokens_in_window_ += grant.tokens_;
     }
     if (grant.tokens_ < wanted) {
+        const bool left = left_in_window > grant.tokens_;
+        grant.cause_ = left ? grant_cause::no_token : grant_cause::window_used_up;
         const base::duration window_wait =
-            left_in_window > grant.tokens_ || owner.recent_grants_.empty()
+            left || owner.recent_grants_.empty()
                 ? base::duration::zero()
                 : owner.recent_grants_.front().granted_at_ + limit.tolerance_.window_ - now;
         grant.retry_after_ =
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -107,6 +107,25 @@
     base::instant last_request_at_{};
 };
 
+// What decided on a request for tokens.
+enum class grant_cause {
+    // All tokens were granted.
+    granted,
+    // Fewer tokens than requested had accrued.
+    no_token,
+    // Rate and burst were granted within the window.
+    window_used_up,
+    // The host has begun to act and grants nothing yet.
+    handover,
+    // The host does not act as owner.
+    not_acting,
+};
+
+// Number of values of grant_cause.
+inline constexpr std::size_t grant_cause_count = 5;
+
+std::string_view to_text(grant_cause cause);
+
 // Reply to a request for tokens.
 struct quota_grant {
     std::int64_t tokens_ = 0;
@@ -114,6 +133,7 @@
     base::duration retry_after_{};
     // False if this host does not act, or has begun to act and grants nothing yet.
     bool granting_ = false;
+    grant_cause cause_ = grant_cause::granted;
 };
 
 // Stops acting after the process was stalled, since another host may have acted meanwhile.
--- /dev/null
+++ b/tests/fleet_quota_test.cpp
@@ -0,0 +1,203 @@
+// One host that asks for the tokens of an organisation or grants them, with peers that reply only
+// as a test says: whom it asks and when, and what it reports of its decisions.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/fleet_quota.h"
+#include "node/quota_log.h"
+
+using namespace dandelionridge;
+
+namespace {
+
+const std::string organisation = "bends";
+const std::vector<std::string> host_names = {"h0", "h1", "h2", "h3", "h4"};
+constexpr base::duration max_wait = base::milliseconds(400);
+constexpr base::duration time_step = base::milliseconds(10);
+
+// Peers that are reachable or not, and never reply by themselves.
+class silent_peers final : public control::peer_sender {
+public:
+    void send(const std::string& host, const wire::frame& frame) override {
+        sent_.emplace_back(host, frame);
+    }
+    bool reachable(const std::string& host) const override { return !unreachable_.contains(host); }
+
+    std::vector<std::pair<std::string, wire::frame>> sent_;
+    std::set<std::string> unreachable_;
+};
+
+// A refusal with the names that its report only refers to.
+struct recorded_refusal : control::quota_refusal {
+    std::string organisation_name_;
+    std::string owner_name_;
+};
+
+class recording_observer final : public control::quota_observer {
+public:
+    void on_refusal(const control::quota_refusal& refusal) override {
+        refusals_.push_back(
+            {refusal, std::string(refusal.organisation_), std::string(refusal.owner_)});
+    }
+    void on_owner_change(const control::quota_owner_change& change) override {
+        changes_.push_back(change);
+    }
+
+    std::vector<recorded_refusal> refusals_;
+    std::vector<control::quota_owner_change> changes_;
+};
+
+class counting_listener final : public control::quota_listener {
+public:
+    void on_admitted() override { ++admitted_; }
+    void on_over_rate(base::duration /*retry_after*/) override { ++refused_; }
+
+    int admitted_ = 0;
+    int refused_ = 0;
+};
+
+// One host that asks silent peers for the tokens of an organisation.
+class asking_host {
+public:
+    explicit asking_host(const std::string& name) : quota_(clock_, configuration_, peers_, name) {
+        clock_.pause();
+        configuration_.offer_lines(
+            control::config_value_kind::rules, 1,
+            {"zone z1 # test", "organisation " + organisation + " rate=20/s burst=20 # test"});
+        std::vector<std::string> lines;
+        for (const std::string& host : host_names) {
+            lines.push_back(R"({"host":")" + host +
+                            R"(","zone":"z1","address":"10.0.0.1:1","state":"live","targets":[]})");
+        }
+        configuration_.offer_lines(control::config_value_kind::hosts, 1, lines);
+        quota_.set_observer(observer_);
+        quota_.on_hosts_changed();
+    }
+
+    void run(base::duration time) {
+        const base::instant end = clock_.now() + time;
+        while (clock_.now() < end) {
+            clock_.advance(time_step);
+            quota_.tick();
+        }
+    }
+
+    void admit() { quota_.admit(organisation, max_wait, listener_); }
+
+    base::runtime_clock clock_;
+    control::configuration configuration_;
+    silent_peers peers_;
+    recording_observer observer_;
+    counting_listener listener_;
+    control::fleet_quota quota_;
+};
+
+std::uint64_t refused(const asking_host& host, control::quota_refusal_cause cause) {
+    return host.quota_.counters().refused_requests_.at(static_cast<std::size_t>(cause));
+}
+
+std::string owner_at(std::size_t rank) {
+    return policy::rank_owners(organisation, host_names).at(rank);
+}
+
+// Returns a host that is not among the ranked owners.
+std::string other_host() {
+    const auto ranked = policy::rank_owners(organisation, host_names);
+    for (const std::string& host : host_names) {
+        if (std::find(ranked.begin(), ranked.end(), host) == ranked.end()) {
+            return host;
+        }
+    }
+    return {};
+}
+
+}  // namespace
+
+// Guards against: refusals whose cause no log line and no counter tells.
+TEST_CASE("a refusal by the owner is reported with its inputs", "[quota]") {
+    asking_host host(other_host());
+    host.admit();
+    REQUIRE(host.peers_.sent_.size() == 1);
+    wire::lease_grant grant;
+    grant.request = host.peers_.sent_.front().second.lease_request_.request;
+    grant.organisation = organisation;
+    grant.granting = true;
+    grant.retry_after_ms = 900;
+    host.clock_.advance(base::milliseconds(30));
+    host.quota_.on_grant(grant);
+    REQUIRE(host.observer_.refusals_.size() == 1);
+    const recorded_refusal& refusal = host.observer_.refusals_.front();
+    CHECK(refusal.cause_ == control::quota_refusal_cause::owner_limit);
+    CHECK(refusal.organisation_name_ == organisation);
+    CHECK(refusal.owner_name_ == owner_at(0));
+    CHECK(refusal.owner_rank_ == 0);
+    CHECK(refusal.waiting_ == 1);
+    CHECK(refusal.retry_after_ == base::milliseconds(900));
+    CHECK(refusal.waited_ == base::milliseconds(30));
+    CHECK(refusal.reachability_.hosts_ == host_names.size());
+    CHECK(refused(host, control::quota_refusal_cause::owner_limit) == 1);
+}
+
+// Guards against: a refusal for want of a reply that looks like one over the rate.
+TEST_CASE("a refusal without a reply of any owner is reported as such", "[quota]") {
+    asking_host host(other_host());
+    host.admit();
+    host.run(max_wait + time_step);
+    REQUIRE(host.listener_.refused_ == 1);
+    REQUIRE(host.observer_.refusals_.size() == 1);
+    CHECK(host.observer_.refusals_.front().cause_ == control::quota_refusal_cause::no_reply);
+    CHECK(refused(host, control::quota_refusal_cause::no_reply) == 1);
+}
+
+// Guards against: an owner that begins or ends to act without a line that says why.
+TEST_CASE("an owner's begin and end are reported once each", "[quota]") {
+    asking_host host(owner_at(1));
+    const auto ask = [&host] {
+        wire::lease_request request;
+        request.organisation = organisation;
+        request.tokens = 2;
+        host.quota_.on_request(request, other_host());
+    };
+    host.run(base::seconds(1));
+    ask();
+    CHECK(host.observer_.changes_.empty());
+    host.peers_.unreachable_ = {owner_at(0)};
+    ask();
+    ask();
+    REQUIRE(host.observer_.changes_.size() == 1);
+    CHECK(host.observer_.changes_[0].acting_);
+    CHECK_FALSE(host.observer_.changes_[0].stalled_);
+    host.quota_.on_stall();
+    host.quota_.on_stall();
+    REQUIRE(host.observer_.changes_.size() == 2);
+    CHECK_FALSE(host.observer_.changes_[1].acting_);
+    CHECK(host.observer_.changes_[1].stalled_);
+    ask();
+    host.peers_.unreachable_.clear();
+    ask();
+    REQUIRE(host.observer_.changes_.size() == 4);
+    CHECK_FALSE(host.observer_.changes_[3].acting_);
+    CHECK(host.observer_.changes_[3].reachability_.higher_rank_reachable_);
+}
+
+// Guards against: a flood of one organisation that fills the log and the kept events.
+TEST_CASE("events of the quota are recorded at a bounded rate", "[quota]") {
+    base::runtime_clock clock;
+    clock.pause();
+    observe::event_log events({"h1", "z1", 1});
+    node::quota_log log(clock, events);
+    constexpr std::size_t extra = 7;
+    for (std::size_t i = 0; i < node::max_quota_events_per_second + extra; ++i) {
+        log.on_refusal({});
+    }
+    CHECK(events.events().size() == node::max_quota_events_per_second);
+    clock.advance(base::seconds(1));
+    log.on_refusal({});
+    REQUIRE(events.events().size() == node::max_quota_events_per_second + 1);
+    const observe::event& last = events.events().back();
+    REQUIRE(last.fields_.back().name_ == "dropped");
+    CHECK(last.fields_.back().value_ == std::to_string(extra));
+}
--- a/tests/process_quota_test.cpp
+++ b/tests/process_quota_test.cpp
@@ -133,6 +133,31 @@
                       [](const sent_request& request) { return request.reason_ == "over_rate"; }));
 }
 
+// Guards against: refusals inside the rate that no log line or counter explains, and one name for
+// the delay that a caller was told and the time that its request took.
+TEST_CASE("a refusal over the rate leaves its cause in the events and the metrics",
+          "[promise-quota]") {
+    fleet fleet(small_quota_plan());
+    fleet.start_all();
+    flood flood(fleet, {"h1"}, "small-secret");
+    const auto refused_at_h1 = [&] {
+        return fleet.admin("h1", "/events").find("\"quota_refused\"") != std::string::npos;
+    };
+    REQUIRE(wait_for(refused_at_h1));
+    flood.finish();
+    const std::string events = fleet.admin("h1", "/events");
+    CHECK(events.find(R"("cause":"owner_limit")") != std::string::npos);
+    CHECK(events.find(R"("retry_after_ms":)") != std::string::npos);
+    CHECK(events.find(R"("elapsed_ms":)") != std::string::npos);
+    CHECK(events.find(R"("ms":)") == std::string::npos);
+    const std::string metrics = fleet.admin("h1", "/metrics");
+    const std::string counter = "\ndandelionridge_quota_refusals_total{cause=\"owner_limit\"} ";
+    REQUIRE(metrics.find(counter) != std::string::npos);
+    CHECK(std::stoi(metrics.substr(metrics.find(counter) + counter.size())) > 0);
+    CHECK(metrics.find("\ndandelionridge_quota_tokens_total{cause=\"granted\"} ") !=
+          std::string::npos);
+}
+
 TEST_CASE("quota owners that are killed or frozen during a flood do not exceed the rate",
           "[promise-quota]") {
     fleet fleet(small_quota_plan());
