Ask the owners again soon where the own share has no token

A host that reached no owner for a moment (its links are reopened after a freeze) refused its requests at once, and then every further one of that organisation until its own share of the rate had a token. That share is half of the rate over all hosts: up to 36 s in a fleet of 89, although an owner acted again.

Requests now wait for an owner as long as they wait for a token, and the owners are asked every 50 ms. A host without an owner for over a second refuses at once again, as it is cut off. Retry-After is then half a second, by which another host has usually taken over.

fleet_quota_test, "a request waits for an owner ..." and "the owners are asked again soon ...": before, the request was refused at once, and no owner was asked.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -9,6 +9,14 @@
 
 constexpr base::duration reply_timeout = base::milliseconds(150);
 constexpr base::duration min_retry_delay = base::milliseconds(5);
+// While no owner grants tokens, the owners are asked again after this time.
+constexpr base::duration owner_retry_delay = base::milliseconds(50);
+// Delay after which a caller may retry if no owner granted tokens: another host has usually begun
+// to act by then.
+constexpr base::duration takeover_delay = base::milliseconds(500);
+// Requests wait for an owner if some owner granted tokens within this time; otherwise the host is
+// taken to be cut off, and only its own share counts.
+constexpr base::duration takeover_bound = base::seconds(1);
 // The state of an organisation without requests is dropped after this time.
 constexpr base::duration idle_state_expiry = base::seconds(5);
 
@@ -173,10 +181,19 @@
     const policy::quota_limit limit = limit_of(organisation);
     state.requested_at_ = now;
     state.missing_cause_ = quota_refusal_cause::own_share;
-    on_tokens_granted(organisation, state,
-                      policy::grant_own_share(
-                          own_share_[organisation], limit, std::max<std::size_t>(1, hosts_.size()),
-                          policy::tokens_to_request(state.tokens_, waiting, now), now));
+    policy::quota_grant grant = policy::grant_own_share(
+        own_share_[organisation], limit, std::max<std::size_t>(1, hosts_.size()),
+        policy::tokens_to_request(state.tokens_, waiting, now), now);
+    if (now - state.own_share_used_at_ > takeover_bound) {
+        state.without_owner_since_ = now;
+    }
+    state.own_share_used_at_ = now;
+    if (now - state.without_owner_since_ < takeover_bound) {
+        // An owner may have tokens long before the own share has one.
+        grant.retry_after_ = std::min(grant.retry_after_, owner_retry_delay);
+    }
+    on_tokens_granted(organisation, state, grant);
+    state.retry_at_ = std::min(state.retry_at_, now + owner_retry_delay);
 }
 
 void fleet_quota::on_stall() {
@@ -280,6 +297,7 @@
         return;
     }
     state.missing_cause_ = quota_refusal_cause::owner_limit;
+    state.own_share_used_at_ = {};
     on_tokens_granted(organisation, state,
                       {grant.tokens, base::milliseconds(grant.retry_after_ms), true});
 }
@@ -308,9 +326,11 @@
 void fleet_quota::refuse_infeasible(const std::string& organisation, organisation_state& state) {
     const base::instant now = clock_.now();
     const base::instant next = std::max(now, state.retry_at_);
-    const base::duration retry_after = std::max(min_retry_delay, next - now);
     const quota_refusal_cause cause =
         state.pending_request_id_ != 0 ? quota_refusal_cause::no_reply : state.missing_cause_;
+    const base::duration min_delay =
+        cause == quota_refusal_cause::owner_limit ? min_retry_delay : takeover_delay;
+    const base::duration retry_after = std::max(min_delay, next - now);
     const std::size_t waiting = state.waiting_.size();
     std::vector<waiter> refused;
     std::erase_if(state.waiting_, [&](const waiter& queued) {
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -71,6 +71,10 @@
         base::instant requested_at_{};
         // No further token request is sent before this time.
         base::instant retry_at_{};
+        // Last use of the host's own share, and the beginning of the time without an owner in which
+        // it lies. An owner that grants ends that time.
+        base::instant own_share_used_at_{};
+        base::instant without_owner_since_{};
         // What kept the last request for tokens from getting all of them.
         quota_refusal_cause missing_cause_ = quota_refusal_cause::owner_limit;
     };
--- a/tests/fleet_quota_test.cpp
+++ b/tests/fleet_quota_test.cpp
@@ -95,6 +95,17 @@
     control::fleet_quota quota_;
 };
 
+// Has the peer that was asked last grant what it was asked for.
+void grant_last(asking_host& host) {
+    const wire::lease_request request = host.peers_.sent_.back().second.lease_request_;
+    wire::lease_grant grant;
+    grant.request = request.request;
+    grant.organisation = organisation;
+    grant.tokens = request.tokens;
+    grant.granting = true;
+    host.quota_.on_grant(grant);
+}
+
 std::uint64_t refused(const asking_host& host, control::quota_refusal_cause cause) {
     return host.quota_.counters().refused_requests_.at(static_cast<std::size_t>(cause));
 }
@@ -201,3 +212,60 @@
     REQUIRE(last.fields_.back().name_ == "dropped");
     CHECK(last.fields_.back().value_ == std::to_string(extra));
 }
+
+// Guards against: requests that a host refuses at once, just after it woke, while its links to the
+// owners are being opened.
+TEST_CASE("a request waits for an owner that cannot be reached for a moment", "[quota]") {
+    asking_host host(other_host());
+    host.peers_.unreachable_ = {host_names.begin(), host_names.end()};
+    host.admit();
+    host.run(base::milliseconds(200));
+    CHECK(host.listener_.refused_ == 0);
+    CHECK(host.peers_.sent_.empty());
+    host.peers_.unreachable_.clear();
+    host.run(base::milliseconds(60));
+    REQUIRE_FALSE(host.peers_.sent_.empty());
+    CHECK(host.peers_.sent_.back().first == owner_at(0));
+    grant_last(host);
+    CHECK(host.listener_.admitted_ == 1);
+}
+
+// Guards against: a host that once used its own share and then refused the organisation until that
+// share had a token, for seconds, without asking an owner that acted again.
+TEST_CASE("the owners are asked again soon after none could be asked", "[quota]") {
+    asking_host host(other_host());
+    host.peers_.unreachable_ = {host_names.begin(), host_names.end()};
+    host.admit();
+    host.run(max_wait + time_step);
+    CHECK(host.listener_.refused_ == 1);
+    host.peers_.unreachable_.clear();
+    host.admit();
+    host.run(base::milliseconds(60));
+    CHECK(host.listener_.refused_ == 1);
+    REQUIRE_FALSE(host.peers_.sent_.empty());
+    grant_last(host);
+    CHECK(host.listener_.admitted_ == 1);
+}
+
+// Guards against: a host that is cut off and holds each request until it has waited in vain.
+TEST_CASE("a host without an owner for long refuses what its own share does not allow at once",
+          "[quota]") {
+    asking_host host(other_host());
+    host.peers_.unreachable_ = {host_names.begin(), host_names.end()};
+    const int per_step = 2;
+    for (base::duration elapsed{}; elapsed < base::seconds(2); elapsed += time_step) {
+        for (int i = 0; i < per_step; ++i) {
+            host.admit();
+        }
+        host.run(time_step);
+    }
+    const int refused_before = host.listener_.refused_;
+    constexpr int requests = 10;
+    for (int i = 0; i < requests; ++i) {
+        host.admit();
+    }
+    host.run(base::milliseconds(60));
+    // The own share may have accrued a token or two.
+    CHECK(host.listener_.refused_ >= refused_before + requests - 2);
+    CHECK(host.observer_.refusals_.back().waited_ <= base::milliseconds(60));
+}
