Count tokens that are requested again once as demand

An owner holds requesters back for up to 2 s where far more tokens are requested than the rate allows. Each request counted in full, also one of a host that asked again for the same waiting requests some 50 ms later, and one in the 200 ms in which a new owner grants nothing. So a short lack of tokens looked like a flood, and all hosts refused the organisation for up to 2 s, inside its rate.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -168,7 +168,7 @@
     pending_organisations_[state.pending_request_id_] = organisation;
     const std::string owner = owners[state.owner_rank_];
     if (owner == host_) {
-        on_grant(grant(frame.lease_request_));
+        on_grant(grant(frame.lease_request_, host_));
         return;
     }
     peers_.send(owner, frame);
@@ -205,7 +205,7 @@
 
 std::optional<wire::lease_grant> fleet_quota::on_request(const wire::lease_request& request,
                                                          const std::string& requester) {
-    const wire::lease_grant reply = grant(request);
+    const wire::lease_grant reply = grant(request, requester);
     if (!reply.granting && relay(request, requester)) {
         return std::nullopt;
     }
@@ -251,7 +251,8 @@
     return true;
 }
 
-wire::lease_grant fleet_quota::grant(const wire::lease_request& request) {
+wire::lease_grant fleet_quota::grant(const wire::lease_request& request,
+                                     const std::string& requester) {
     wire::lease_grant reply;
     reply.request = request.request;
     reply.organisation = request.organisation;
@@ -267,8 +268,9 @@
             : owned_.emplace(request.organisation, policy::make_owner(limit, started_at_))
                   .first->second;
     const bool was_acting = found != owned_.end() && owner.acting_;
-    const policy::quota_grant granted = policy::grant_tokens(
-        owner, limit, reachability_for(request.organisation), request.tokens, clock_.now());
+    const policy::quota_grant granted =
+        policy::grant_tokens(owner, limit, reachability_for(request.organisation), request.tokens,
+                             clock_.now(), requester);
     report_owner_change(request.organisation, was_acting, owner.acting_, false);
     counters_.granted_tokens_ += static_cast<std::uint64_t>(granted.tokens_);
     counters_.missing_tokens_.at(static_cast<std::size_t>(granted.cause_)) +=
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -87,7 +87,7 @@
         base::instant relayed_at_{};
     };
 
-    wire::lease_grant grant(const wire::lease_request& request);
+    wire::lease_grant grant(const wire::lease_request& request, const std::string& requester);
     bool relay(const wire::lease_request& request, const std::string& requester);
     bool relay_grant(const wire::lease_grant& grant);
     policy::quota_limit limit_of(const std::string& organisation) const;
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -27,10 +27,23 @@
     return std::chrono::duration<double>(value).count();
 }
 
-void record_requested(quota_owner& owner, std::int64_t wanted, base::instant now) {
+// Tokens that a requester still lacks count as requested again after this time: by then other
+// requests wait for them.
+constexpr base::duration unmet_request_expiry = base::milliseconds(300);
+
+// Adds the tokens to the requested rate, except for those that the requester was refused shortly
+// before and requests again.
+void record_requested(quota_owner& owner, const std::string& requester, std::int64_t wanted,
+                      base::instant now) {
+    unmet_request& unmet = owner.unmet_requests_[requester];
+    if (now - unmet.counted_at_ > unmet_request_expiry) {
+        unmet = {0, now};
+    }
+    const std::int64_t added = std::max<std::int64_t>(0, wanted - unmet.tokens_);
+    unmet.tokens_ = wanted;
     const double elapsed_s = to_seconds(now - owner.last_request_at_);
     owner.requested_rate_ = owner.requested_rate_ * std::exp(-elapsed_s / demand_averaging_s) +
-                            static_cast<double>(wanted) / demand_averaging_s;
+                            static_cast<double>(added) / demand_averaging_s;
     owner.last_request_at_ = now;
 }
 
@@ -125,7 +138,7 @@
 
 quota_grant grant_tokens(quota_owner& owner, const quota_limit& limit,
                          const host_reachability& reachability, std::int64_t wanted,
-                         base::instant now) {
+                         base::instant now, const std::string& requester) {
     const double share = acting_share(reachability);
     quota_grant grant;
     if (share <= 0) {
@@ -141,19 +154,20 @@
     owner.bucket_.rate_ = limit.rate_ * share;
     owner.bucket_.burst_ = std::max<std::int64_t>(
         1, std::llround(std::floor(static_cast<double>(max_unused_tokens(limit)) * share)));
-    record_requested(owner, wanted, now);
     expire_grants(owner, limit.tolerance_.window_, now);
     if (now < owner.grants_from_) {
         grant.retry_after_ = owner.grants_from_ - now;
         grant.cause_ = grant_cause::handover;
         return grant;
     }
+    record_requested(owner, requester, wanted, now);
     const auto window_limit =
         std::max<std::int64_t>(1, std::llround(std::floor(max_tokens_per_window(limit) * share)));
     const std::int64_t left_in_window =
         std::max<std::int64_t>(0, window_limit - owner.tokens_in_window_);
     grant.granting_ = true;
     grant.tokens_ = take(owner.bucket_, std::min(wanted, left_in_window), now);
+    owner.unmet_requests_[requester].tokens_ -= grant.tokens_;
     if (grant.tokens_ > 0) {
         owner.recent_grants_.push_back({now, grant.tokens_});
         owner.tokens_in_window_ += grant.tokens_;
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
@@ -90,6 +91,12 @@
     std::int64_t tokens_ = 0;
 };
 
+// Tokens that a requester was not granted. It requests them again, and they count only once.
+struct unmet_request {
+    std::int64_t tokens_ = 0;
+    base::instant counted_at_{};
+};
+
 // A host's state as the owner, or a possible owner, of one organisation's tokens.
 struct quota_owner {
     token_bucket bucket_;
@@ -105,6 +112,8 @@
     double requested_rate_ = 0;
     // Time of the last request for tokens.
     base::instant last_request_at_{};
+    // By requester.
+    std::unordered_map<std::string, unmet_request> unmet_requests_;
 };
 
 // What decided on a request for tokens.
@@ -146,10 +155,11 @@
 // Returns an acting owner that begins to act at `since` and does not know what was granted before.
 quota_owner make_owner(const quota_limit& limit, base::instant since);
 
-// Grants up to `wanted` tokens. Starts or stops acting as `reachability` demands.
+// Grants up to `wanted` tokens to the host `requester`. Starts or stops acting as `reachability`
+// demands.
 quota_grant grant_tokens(quota_owner& owner, const quota_limit& limit,
                          const host_reachability& reachability, std::int64_t wanted,
-                         base::instant now);
+                         base::instant now, const std::string& requester = {});
 
 // Tokens that a caller proxy holds for one organisation.
 struct held_tokens {
--- a/tests/quota_fuzz_test.cpp
+++ b/tests/quota_fuzz_test.cpp
@@ -415,6 +415,35 @@
     CHECK(granted <= 60 + policy::max_unused_tokens(limit));
 }
 
+// Guards against: requests for tokens that are repeated, or made of an owner that does not grant
+// yet, and look like a demand far above the rate; all requesters were then held back for up to 2 s.
+TEST_CASE("tokens that are requested again count once as demand", "[policy][quota]") {
+    const policy::quota_limit limit{rate_per_s, burst};
+    const base::instant start = base::instant{} + base::seconds(100);
+    policy::quota_owner owner = policy::make_owner(limit, start);
+    const auto ask_all = [&](std::int64_t wanted, base::instant now) {
+        base::duration longest_delay{};
+        for (std::size_t host = 0; host < host_count; ++host) {
+            const policy::quota_grant grant =
+                policy::grant_tokens(owner, limit, {}, wanted, now, "h" + std::to_string(host));
+            longest_delay = std::max(longest_delay, grant.retry_after_);
+        }
+        return longest_delay;
+    };
+    constexpr base::duration retry_interval = base::milliseconds(20);
+    base::instant now = start;
+    // Two waiting requests at each host, less than the rate of a second, in and after the handover.
+    for (; now < start + base::milliseconds(400); now += retry_interval) {
+        CHECK(ask_all(2, now) <= policy::quota_handover_delay);
+    }
+    // A flood is still told to wait.
+    constexpr std::int64_t flood_tokens = 50;
+    for (; now < start + base::seconds(2); now += base::milliseconds(400)) {
+        ask_all(flood_tokens, now);
+    }
+    CHECK(ask_all(flood_tokens, now) >= base::milliseconds(500));
+}
+
 TEST_CASE("without a tolerance no more than the burst accumulates", "[policy][quota]") {
     const policy::quota_limit limit{2, 3};
     const base::instant start = base::instant{} + base::seconds(100);
