Replace an owner that does not reply over an open link

A frozen owner of quota was replaced only once the links to it were lost as silent, about a second after each host had first used its own.

A host that leaves a question unanswered counts as silent for the quota until it replies; it is probed every 100 ms, by frames that also have its link found silent. The next owner takes over after 80 ms without a reply and the handover of 200 ms, and tells its requesters in time that there is no owner yet. While the link to the owner before it is still open, it grants half of its share only, as other hosts may reach that owner. It stops with the first reply. A host that stood still for as long as a takeover takes stops acting; before, only a stall of 0.5 s did that.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -8,6 +8,13 @@
 namespace {
 
 constexpr base::duration reply_timeout = base::milliseconds(150);
+// Timeout of a question that the asked host must answer itself. Below reply_timeout, so that the
+// host that passes a request on can tell its requester in time that there was no reply.
+constexpr base::duration direct_reply_timeout = base::milliseconds(80);
+// A host that stood still for this time may have been replaced as owner.
+constexpr base::duration stall_threshold = direct_reply_timeout + policy::quota_handover_delay;
+// Interval at which a host that left a question unanswered is asked whether it replies again.
+constexpr base::duration probe_interval = base::milliseconds(100);
 constexpr base::duration min_retry_delay = base::milliseconds(5);
 // While no owner grants tokens, the owners are asked again after this time.
 constexpr base::duration owner_retry_delay = base::milliseconds(50);
@@ -20,8 +27,8 @@
 // The state of an organisation without requests is dropped after this time.
 constexpr base::duration idle_state_expiry = base::seconds(5);
 
-// A request that was passed on is forgotten after this time; its requester no longer waits.
-constexpr base::duration relay_expiry = base::seconds(1);
+// A question is forgotten after this time. Until then, a late reply shows that its host responds.
+constexpr base::duration question_expiry = base::seconds(1);
 
 }  // namespace
 
@@ -44,7 +51,8 @@
       peers_(peers),
       host_(std::move(host)),
       tolerance_(tolerance),
-      started_at_(clock.now()) {}
+      started_at_(clock.now()),
+      last_tick_at_(started_at_) {}
 
 policy::quota_limit fleet_quota::limit_of(const std::string& organisation) const {
     const config::rule_set& rules = *configuration_.rules();
@@ -62,6 +70,7 @@
         listener.on_admitted();
         return;
     }
+    notice_stall();
     const base::instant now = clock_.now();
     organisation_state& state = states_[organisation];
     policy::record_demand(state.tokens_, now);
@@ -112,7 +121,7 @@
     policy::host_reachability reachability;
     reachability.hosts_ = std::max<std::size_t>(1, hosts_.size());
     for (const std::string& host : hosts_) {
-        reachability.reachable_hosts_ += host != host_ && peers_.reachable(host) ? 1 : 0;
+        reachability.reachable_hosts_ += host != host_ && responds(host) ? 1 : 0;
     }
     reachability.reachable_hosts_ = std::min(reachability.reachable_hosts_, reachability.hosts_);
     const auto ranks = ranked_owners_.find(organisation);
@@ -123,12 +132,84 @@
         if (host == host_) {
             return reachability;
         }
-        reachability.higher_rank_reachable_ =
-            reachability.higher_rank_reachable_ || peers_.reachable(host);
+        reachability.higher_rank_reachable_ = reachability.higher_rank_reachable_ || responds(host);
+        reachability.higher_rank_silent_ =
+            reachability.higher_rank_silent_ || unresponsive_.contains(host);
     }
     return reachability;
 }
 
+// Returns whether a host can be reached and has left no question unanswered. An open link alone
+// does not show that the process behind it runs.
+bool fleet_quota::responds(const std::string& host) const {
+    return peers_.reachable(host) && !unresponsive_.contains(host);
+}
+
+// Sends a request for tokens and awaits the reply of that host.
+void fleet_quota::ask(const std::string& host, const wire::lease_request& request) {
+    const base::duration timeout = request.relayed ? direct_reply_timeout : reply_timeout;
+    const base::instant now = clock_.now();
+    questions_[request.request] = {host, request.organisation, now, now + timeout};
+    wire::frame frame;
+    frame.__set_lease_request_(request);
+    peers_.send(host, frame);
+}
+
+// Records that a host responds. What it was asked until then has its reply, or will get none.
+void fleet_quota::record_response(const std::string& host, base::instant asked_until) {
+    unresponsive_.erase(host);
+    std::erase_if(questions_, [&](const auto& entry) {
+        return entry.second.host_ == host && entry.second.asked_at_ <= asked_until;
+    });
+}
+
+// Asks a host whether it replies, without requesting tokens.
+void fleet_quota::probe(const std::string& host, const std::string& organisation) {
+    wire::lease_request request;
+    request.request = next_request_id_++;
+    request.organisation = organisation;
+    request.__set_relayed(true);
+    ask(host, request);
+}
+
+// Records which hosts leave questions unanswered, and probes these until they reply or their link
+// is lost.
+void fleet_quota::check_questions() {
+    const base::instant now = clock_.now();
+    for (const auto& [id, asked] : questions_) {
+        if (now > asked.reply_due_at_) {
+            unresponsive_.try_emplace(asked.host_, unresponsive_host{asked.organisation_, now});
+        }
+    }
+    std::erase_if(questions_, [&](const auto& entry) {
+        return now - entry.second.asked_at_ > question_expiry;
+    });
+    std::erase_if(unresponsive_, [&](const auto& entry) { return !peers_.reachable(entry.first); });
+    for (auto& [host, state] : unresponsive_) {
+        if (now - state.probed_at_ >= probe_interval) {
+            state.probed_at_ = now;
+            probe(host, state.organisation_);
+        }
+    }
+}
+
+// Replies to the requests that were passed on to a host that does not respond.
+void fleet_quota::answer_overdue_relays() {
+    std::vector<relayed_request> overdue;
+    std::erase_if(relayed_requests_, [&](const auto& entry) {
+        const bool late = clock_.now() - entry.second.relayed_at_ > direct_reply_timeout;
+        if (late) {
+            overdue.push_back(entry.second);
+        }
+        return late;
+    });
+    for (const relayed_request& relayed : overdue) {
+        wire::frame frame;
+        frame.__set_lease_grant_(grant(relayed.request_, relayed.requester_));
+        peers_.send(relayed.requester_, frame);
+    }
+}
+
 // Requests the missing tokens unless a request is pending or the retry delay has not passed.
 void fleet_quota::request_tokens(const std::string& organisation, organisation_state& state) {
     const base::instant now = clock_.now();
@@ -149,7 +230,7 @@
     pending_organisations_.erase(state.pending_request_id_);
     state.pending_request_id_ = 0;
     while (state.owner_rank_ < owners.size() && owners[state.owner_rank_] != host_ &&
-           !peers_.reachable(owners[state.owner_rank_])) {
+           !responds(owners[state.owner_rank_])) {
         ++state.owner_rank_;
     }
     if (state.owner_rank_ >= owners.size()) {
@@ -157,21 +238,20 @@
         return;
     }
     const auto waiting = static_cast<std::int64_t>(state.waiting_.size());
-    wire::frame frame;
-    frame.__isset.lease_request_ = true;
-    frame.lease_request_.request = next_request_id_++;
-    frame.lease_request_.organisation = organisation;
-    frame.lease_request_.tokens =
+    wire::lease_request request;
+    request.request = next_request_id_++;
+    request.organisation = organisation;
+    request.tokens =
         static_cast<std::int32_t>(policy::tokens_to_request(state.tokens_, waiting, now));
-    state.pending_request_id_ = frame.lease_request_.request;
+    state.pending_request_id_ = request.request;
     state.requested_at_ = now;
     pending_organisations_[state.pending_request_id_] = organisation;
     const std::string owner = owners[state.owner_rank_];
     if (owner == host_) {
-        on_grant(grant(frame.lease_request_, host_));
+        on_grant(grant(request, host_));
         return;
     }
-    peers_.send(owner, frame);
+    ask(owner, request);
 }
 
 // Fallback when no owner grants tokens: takes them from the host's own share of the rate.
@@ -196,7 +276,19 @@
     state.retry_at_ = std::min(state.retry_at_, now + owner_retry_delay);
 }
 
+// Notices from the time since the last tick that the process stood still.
+void fleet_quota::notice_stall() {
+    const base::instant now = clock_.now();
+    if (now - last_tick_at_ >= stall_threshold) {
+        last_tick_at_ = now;
+        on_stall();
+    }
+}
+
 void fleet_quota::on_stall() {
+    // The replies to what was asked before may still be unread.
+    questions_.clear();
+    unresponsive_.clear();
     for (auto& [organisation, owner] : owned_) {
         report_owner_change(organisation, owner.acting_, false, true);
         policy::stop_acting(owner);
@@ -205,6 +297,8 @@
 
 std::optional<wire::lease_grant> fleet_quota::on_request(const wire::lease_request& request,
                                                          const std::string& requester) {
+    notice_stall();
+    record_response(requester, clock_.now());
     const wire::lease_grant reply = grant(request, requester);
     if (!reply.granting && relay(request, requester)) {
         return std::nullopt;
@@ -218,23 +312,27 @@
     if (request.relayed) {
         return false;
     }
+    bool relayed = false;
     for (const std::string& owner : ranked_owners(request.organisation)) {
         if (owner == host_) {
-            return false;
+            break;
         }
-        if (owner == requester || !peers_.reachable(owner)) {
+        if (owner == requester || !responds(owner)) {
             continue;
         }
-        wire::frame frame;
-        frame.__set_lease_request_(request);
-        frame.lease_request_.request = next_request_id_++;
-        frame.lease_request_.__set_relayed(true);
-        relayed_requests_[frame.lease_request_.request] = {requester, request.request,
-                                                           clock_.now()};
-        peers_.send(owner, frame);
-        return true;
-    }
-    return false;
+        if (relayed) {
+            // This host can act only once none of these responds.
+            probe(owner, request.organisation);
+            continue;
+        }
+        wire::lease_request passed_on = request;
+        passed_on.request = next_request_id_++;
+        passed_on.__set_relayed(true);
+        relayed_requests_[passed_on.request] = {requester, request, clock_.now()};
+        ask(owner, passed_on);
+        relayed = true;
+    }
+    return relayed;
 }
 
 // Sends a grant to the host for which this one asked. Returns whether there is such a host.
@@ -245,7 +343,7 @@
     }
     wire::frame frame;
     frame.__set_lease_grant_(grant);
-    frame.lease_grant_.request = found->second.request_id_;
+    frame.lease_grant_.request = found->second.request_.request;
     peers_.send(found->second.requester_, frame);
     relayed_requests_.erase(found);
     return true;
@@ -282,6 +380,11 @@
 }
 
 void fleet_quota::on_grant(const wire::lease_grant& grant) {
+    notice_stall();
+    if (const auto found = questions_.find(grant.request); found != questions_.end()) {
+        const question answered = found->second;
+        record_response(answered.host_, answered.asked_at_);
+    }
     if (relay_grant(grant)) {
         return;
     }
@@ -382,8 +485,10 @@
 
 void fleet_quota::tick() {
     const base::instant now = clock_.now();
-    std::erase_if(relayed_requests_,
-                  [&](const auto& entry) { return now - entry.second.relayed_at_ > relay_expiry; });
+    notice_stall();
+    last_tick_at_ = now;
+    check_questions();
+    answer_overdue_relays();
     std::vector<std::string> organisations;
     for (auto& [organisation, state] : states_) {
         if (!state.waiting_.empty() || state.pending_request_id_ != 0) {
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -82,14 +82,35 @@
     // A request for tokens that this host passed on for a host that did not reach the owner.
     struct relayed_request {
         std::string requester_;
-        // Number of the request at its requester.
-        std::int64_t request_id_ = 0;
+        wire::lease_request request_;
         base::instant relayed_at_{};
     };
 
+    // A request for tokens, or a probe, to which a host must reply.
+    struct question {
+        std::string host_;
+        std::string organisation_;
+        base::instant asked_at_{};
+        base::instant reply_due_at_{};
+    };
+
+    // A host with an open link that left a question unanswered.
+    struct unresponsive_host {
+        // The organisation for which it was asked.
+        std::string organisation_;
+        base::instant probed_at_{};
+    };
+
     wire::lease_grant grant(const wire::lease_request& request, const std::string& requester);
     bool relay(const wire::lease_request& request, const std::string& requester);
     bool relay_grant(const wire::lease_grant& grant);
+    void answer_overdue_relays();
+    void ask(const std::string& host, const wire::lease_request& request);
+    void probe(const std::string& host, const std::string& organisation);
+    void record_response(const std::string& host, base::instant asked_until);
+    void check_questions();
+    bool responds(const std::string& host) const;
+    void notice_stall();
     policy::quota_limit limit_of(const std::string& organisation) const;
     void request_tokens(const std::string& organisation, organisation_state& state);
     void request_tokens_from_rank(const std::string& organisation, organisation_state& state);
@@ -114,11 +135,15 @@
     // Time of construction. An owner whose tokens are requested for the first time counts as acting
     // since then.
     base::instant started_at_;
+    base::instant last_tick_at_;
     std::unordered_map<std::string, organisation_state> states_;
     // Organisation of each pending token request, by request id.
     std::unordered_map<std::int64_t, std::string> pending_organisations_;
     // By the number that this host gave the request.
     std::unordered_map<std::int64_t, relayed_request> relayed_requests_;
+    // By the number that this host gave the question.
+    std::unordered_map<std::int64_t, question> questions_;
+    std::unordered_map<std::string, unresponsive_host> unresponsive_;
     // Organisations whose tokens this host grants to the fleet.
     std::unordered_map<std::string, policy::quota_owner> owned_;
     // This host's own share of each organisation's rate, used while no owner can be reached or none
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -50,6 +50,10 @@
 // Share of the tolerance that unused tokens may use up.
 constexpr double unused_tolerance_share = 0.5;
 
+// Part of its share that a host grants while an owner that ranks before it is silent but not yet
+// known to be lost.
+constexpr double silent_owner_share_ratio = 0.5;
+
 // Tokens requested per second below which an organisation's demand is too low to tell from chance.
 constexpr double min_overload_rate = 5;
 
@@ -123,8 +127,9 @@
     if (reachability.higher_rank_reachable_ || reachability.hosts_ == 0) {
         return 0;
     }
-    return std::min(1.0, static_cast<double>(reachability.reachable_hosts_) /
-                             static_cast<double>(reachability.hosts_));
+    const double share = std::min(1.0, static_cast<double>(reachability.reachable_hosts_) /
+                                           static_cast<double>(reachability.hosts_));
+    return reachability.higher_rank_silent_ ? share * silent_owner_share_ratio : share;
 }
 
 quota_owner make_owner(const quota_limit& limit, base::instant since) {
@@ -198,7 +203,7 @@
     quota_limit own_limit = limit;
     own_limit.rate_ *= own_share_ratio;
     own_limit.burst_ /= 2;
-    return grant_tokens(owner, own_limit, {false, 1, hosts}, wanted, now);
+    return grant_tokens(owner, own_limit, {.reachable_hosts_ = 1, .hosts_ = hosts}, wanted, now);
 }
 
 void record_demand(held_tokens& held, base::instant now) {
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -68,6 +68,9 @@
 struct host_reachability {
     // A host that ranks before this one can be reached.
     bool higher_rank_reachable_ = false;
+    // A host that ranks before this one does not reply over an open link. Other hosts may still
+    // reach it, and which hosts this one reaches is not yet known either.
+    bool higher_rank_silent_ = false;
     // Hosts that can be reached, including this one.
     std::size_t reachable_hosts_ = 1;
     // All hosts, reachable or not.
--- a/tests/fleet_quota_test.cpp
+++ b/tests/fleet_quota_test.cpp
@@ -2,6 +2,7 @@
 // as a test says: whom it asks and when, and what it reports of its decisions.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -269,3 +270,77 @@
     CHECK(host.listener_.refused_ >= refused_before + requests - 2);
     CHECK(host.observer_.refusals_.back().waited_ <= base::milliseconds(60));
 }
+
+namespace {
+
+// Asks a host as an owner for one token.
+std::optional<wire::lease_grant> ask_owner(asking_host& host) {
+    wire::lease_request request;
+    request.request = 77;
+    request.organisation = organisation;
+    request.tokens = 1;
+    return host.quota_.on_request(request, other_host());
+}
+
+}  // namespace
+
+// Guards against: a frozen owner whose place nobody takes while the links to it count as open: the
+// next ones passed each request on to it, and their requesters had no reply.
+TEST_CASE("the next owner takes over from one that leaves its questions unanswered", "[quota]") {
+    for (const std::size_t rank : {1, 2}) {
+        INFO("rank " << rank);
+        asking_host host(owner_at(rank));
+        host.run(base::seconds(1));
+        CHECK_FALSE(ask_owner(host).has_value());
+        host.run(base::milliseconds(100));
+        // The requester is told within its own timeout that there is no owner yet.
+        REQUIRE(host.peers_.sent_.back().first == other_host());
+        CHECK(host.peers_.sent_.back().second.lease_grant_.request == 77);
+        CHECK_FALSE(host.peers_.sent_.back().second.lease_grant_.granting);
+        host.run(base::milliseconds(300));
+        const auto grant = ask_owner(host);
+        REQUIRE(grant.has_value());
+        CHECK(grant->granting);
+    }
+}
+
+// Guards against: two owners that grant side by side after one of them was only slow.
+TEST_CASE("a host that took over stops once the owner before it replies", "[quota]") {
+    asking_host host(owner_at(1));
+    host.run(base::seconds(1));
+    ask_owner(host);
+    host.run(base::milliseconds(400));
+    REQUIRE(ask_owner(host).has_value());
+    grant_last(host);
+    CHECK_FALSE(ask_owner(host).has_value());
+    REQUIRE(host.observer_.changes_.size() == 2);
+    CHECK(host.observer_.changes_.back().reachability_.higher_rank_reachable_);
+}
+
+// Guards against: each request for tokens that waits for the frozen owner anew.
+TEST_CASE("an owner that left a request unanswered is asked again only once it responds",
+          "[quota]") {
+    asking_host host(other_host());
+    host.admit();
+    host.run(base::milliseconds(200));
+    const auto requests_to = [&host](const std::string& owner) {
+        return std::count_if(
+            host.peers_.sent_.begin(), host.peers_.sent_.end(), [&](const auto& sent) {
+                return sent.first == owner && sent.second.lease_request_.tokens > 0;
+            });
+    };
+    REQUIRE(host.peers_.sent_.back().first == owner_at(1));
+    CHECK(requests_to(owner_at(0)) == 1);
+    grant_last(host);
+    CHECK(host.listener_.admitted_ == 1);
+    host.admit();
+    CHECK(requests_to(owner_at(0)) == 1);
+    CHECK(requests_to(owner_at(1)) == 2);
+    grant_last(host);
+    // A reply to a probe ends that.
+    host.run(base::milliseconds(200));
+    REQUIRE(host.peers_.sent_.back().first == owner_at(0));
+    grant_last(host);
+    host.admit();
+    CHECK(requests_to(owner_at(0)) == 2);
+}
--- a/tests/quota_fuzz_test.cpp
+++ b/tests/quota_fuzz_test.cpp
@@ -26,12 +26,19 @@
 constexpr base::duration max_wait = base::milliseconds(500);
 // Time after which a link that carries nothing is detected as broken.
 constexpr base::duration silence_timeout = base::milliseconds(700);
+// A host notices that it stood still for this time. Its links are then open again after
+// reopening_time.
+constexpr base::duration stall_threshold = base::milliseconds(500);
+constexpr base::duration reopening_time = base::milliseconds(60);
 
 struct faults {
     bool kills_ = false;
     bool freezes_ = false;
     bool partitions_ = false;
     bool host_list_changes_ = false;
+    // Links are watched as in a running fleet: a break is detected only on a link that is used,
+    // and a host that stood still notices that and reopens its links.
+    bool links_watched_in_use_ = false;
 };
 
 class simulated_fleet;
@@ -50,6 +57,7 @@
     std::size_t index_;
     bool up_ = true;
     base::instant frozen_until_{};
+    base::instant last_run_at_{};
     std::unique_ptr<control::configuration> configuration_;
     std::unique_ptr<control::fleet_quota> quota_;
 };
@@ -93,6 +101,7 @@
             deliver();
             for (auto& host : hosts_) {
                 if (running(host->index_)) {
+                    notice_stall(*host);
                     host->quota_->tick();
                     if (callers_.empty() || callers_.contains(host->index_)) {
                         generate_request(*host, demand_percent);
@@ -115,8 +124,25 @@
     // Returns true if the hosts regard the link between them as open: a break is detected only
     // after silence_timeout.
     bool link_open(std::size_t first, std::size_t second) const {
-        const auto broken = broken_since_.find(std::minmax(first, second));
-        return broken == broken_since_.end() || clock_.now() - broken->second < silence_timeout;
+        const auto pair = std::minmax(first, second);
+        if (const auto reopened = reopened_at_.find(pair);
+            reopened != reopened_at_.end() && clock_.now() < reopened->second) {
+            return false;
+        }
+        const auto& broken_links = faults_.links_watched_in_use_ ? used_broken_ : broken_since_;
+        const auto broken = broken_links.find(pair);
+        return broken == broken_links.end() || clock_.now() - broken->second < silence_timeout;
+    }
+
+    // Records that a host sends to another one.
+    void record_use(std::size_t from, std::size_t to) {
+        if (!connected(from, to)) {
+            used_broken_.try_emplace(std::minmax(from, to), clock_.now());
+        }
+    }
+
+    void freeze(const std::string& name, base::duration time) {
+        hosts_[std::stoul(name.substr(1))]->frozen_until_ = clock_.now() + time;
     }
 
     // Returns the maximum number of requests admitted beyond `factor` times rate and burst in any
@@ -196,11 +222,24 @@
         }
     }
 
+    // Has a host that stood still for long enough end its links and tell its quota.
+    void notice_stall(simulated_host& host) {
+        const base::instant last_run = std::exchange(host.last_run_at_, clock_.now());
+        if (!faults_.links_watched_in_use_ || clock_.now() - last_run < stall_threshold) {
+            return;
+        }
+        host.quota_->on_stall();
+        for (std::size_t peer = 0; peer < host_count; ++peer) {
+            reopened_at_[std::minmax(host.index_, peer)] = clock_.now() + reopening_time;
+        }
+    }
+
     void update_links() {
         for (std::size_t first = 0; first < host_count; ++first) {
             for (std::size_t second = first + 1; second < host_count; ++second) {
                 if (connected(first, second)) {
                     broken_since_.erase({first, second});
+                    used_broken_.erase({first, second});
                 } else {
                     broken_since_.try_emplace({first, second}, clock_.now());
                 }
@@ -247,6 +286,10 @@
     faults faults_;
     std::array<int, host_count> partition_{};
     std::map<std::pair<std::size_t, std::size_t>, base::instant> broken_since_;
+    // Time of the first message on each broken link.
+    std::map<std::pair<std::size_t, std::size_t>, base::instant> used_broken_;
+    // Time until which the links of a host that stood still are being opened.
+    std::map<std::pair<std::size_t, std::size_t>, base::instant> reopened_at_;
     std::int64_t list_version_ = 1;
 };
 
@@ -262,6 +305,7 @@
     : fleet_(fleet), index_(index) {}
 
 void simulated_host::boot() {
+    last_run_at_ = fleet_.clock_.now();
     configuration_ = std::make_unique<control::configuration>();
     configuration_->offer_lines(
         control::config_value_kind::rules, 1,
@@ -284,6 +328,7 @@
 
 void simulated_host::send(const std::string& host, const wire::frame& frame) {
     const std::size_t peer = std::stoul(host.substr(1));
+    fleet_.record_use(index_, peer);
     if (fleet_.connected(index_, peer)) {
         const auto delay = base::milliseconds(1 + base::random_below(fleet_.random_, 30));
         fleet_.messages_.push_back({fleet_.clock_.now() + delay, index_, peer, frame});
@@ -368,6 +413,26 @@
     }
 }
 
+// Guards against: more than the bound while hosts take over from owners that do not reply.
+TEST_CASE("takeovers from frozen owners stay within the bound on the excess",
+          "[quota][promise-quota]") {
+    constexpr double factor = 1.25;
+    constexpr double slack = 20;
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        INFO("seed " << seed);
+        for (const policy::quota_tolerance tolerance :
+             {policy::quota_tolerance{}, policy::quota_tolerance{window, factor - 1, slack}}) {
+            simulated_fleet fleet(seed, {true, true, true, true, true}, tolerance);
+            fleet.run(simulated_time, 600);
+            CHECK(fleet.max_excess(window, factor) <= slack);
+            simulated_fleet frozen(seed, {.freezes_ = true, .links_watched_in_use_ = true},
+                                   tolerance);
+            frozen.run(simulated_time, 600);
+            CHECK(frozen.max_excess(window, factor) <= slack);
+        }
+    }
+}
+
 // Guards against: a host that was cut off from an organisation's owner alone refused its requests,
 // since the next hosts in the ranking reach the owner and so do not act.
 TEST_CASE("a host that does not reach the owner gets its tokens through another host",
@@ -395,7 +460,7 @@
 // Pattern: clumped arrivals of a small organisation.
 TEST_CASE("a clump within rate and burst of a window is granted at once", "[policy][quota]") {
     const policy::quota_limit limit{1, 1, {window, 0.25, 20}};
-    const policy::host_reachability alone{false, 3, 3};
+    const policy::host_reachability alone{.reachable_hosts_ = 3, .hosts_ = 3};
     const base::instant start = base::instant{} + base::seconds(100);
     policy::quota_owner owner = policy::make_owner(limit, start);
     base::instant now = start + base::seconds(20);
@@ -449,5 +514,5 @@
     const base::instant start = base::instant{} + base::seconds(100);
     policy::quota_owner owner = policy::make_owner(limit, start);
     const base::instant now = start + base::seconds(20);
-    CHECK(policy::grant_tokens(owner, limit, {false, 1, 1}, 9, now).tokens_ == 3);
+    CHECK(policy::grant_tokens(owner, limit, {}, 9, now).tokens_ == 3);
 }
