Let an idempotent run go on when its link is lost

A caller got 504 for a read whose run would have ended in time: the target proxy cancelled each idempotent run as soon as its link was lost, and recorded it as done. The caller proxy, which asked for it on the next link, was told "done" and that the response was lost, and had to pay for another run or end the request. A pause of either process loses all its links, so it cost all reads in progress.

An idempotent run whose request body is whole and of whose response nothing was passed on now goes on, as other runs do. It is cancelled as soon as nobody can want it: at once if the caller proxy asks for the attempts of that link and does not name it; 250 ms after a later link of the caller proxy was opened, if it has not asked (one that has given up all attempts of the link does not ask); 2 s after the loss without a later link, when the caller proxy has given it up; at once if a new process of that host opens a link. Each further loss begins the same anew; so far the loss of the second link was not seen as one that concerns the attempts of the first. Runs whose response is streamed are cancelled as before. The ledger is as it was.

For this an accepted hello ends the earlier links of the same process, which has at most one open; so far only Resolve did. A caller that left on a link that stood still kept its target at work until its deadline, as the cancellation was lost and no Resolve followed.

--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -20,9 +20,6 @@
 // The records of a caller proxy are evicted after this time without a link, which is far longer
 // than any request may take.
 constexpr base::duration max_disconnected_time = base::seconds(1800);
-// Within this time a caller proxy that has lost its link has most likely opened a new one and asked
-// for the replies that it lacks.
-constexpr base::duration max_reconnect_wait = base::seconds(2);
 
 wire::attempt_state to_wire_state(policy::attempt_status status) {
     switch (status) {
@@ -56,6 +53,7 @@
       responses_(memory.limit_ / kept_responses_divisor, base::duration::max()),
       idempotent_responses_(memory.limit_ / kept_idempotent_responses_divisor,
                             idempotent_response_age),
+      unclaimed_timer_(loop),
       expiry_timer_(loop),
       check_timer_(loop),
       random_(base::make_random_engine()) {
@@ -106,9 +104,9 @@
 
 bool target_proxy::all_delivered() const {
     const base::instant now = loop_.clock().now();
-    const bool awaits_caller_proxy =
-        std::any_of(replies_lost_at_.begin(), replies_lost_at_.end(),
-                    [&](const auto& lost) { return now - lost.second < max_reconnect_wait; });
+    const bool awaits_caller_proxy = std::any_of(
+        replies_lost_at_.begin(), replies_lost_at_.end(),
+        [&](const auto& lost) { return now - lost.second < policy::max_reconnect_wait; });
     return !awaits_caller_proxy &&
            std::all_of(connections_.begin(), connections_.end(), [](const auto& entry) {
                const connection& link = entry.second;
@@ -181,7 +179,10 @@
         ++counters_.links_refused_;
         return;
     }
+    close_earlier_links(link);
     links_[{hello.boot, hello.link}] = link.socket_.get();
+    set_replaced_at(hello.boot, loop_.clock().now());
+    cancel_runs_of_earlier_boots(link);
     disconnected_since_.erase(hello.boot);
     listener_.on_peer_versions(link.host_, hello.versions, make_reply_sender(link));
 }
@@ -203,46 +204,11 @@
         if (!lost.socket_->has_delivered(lost.replies_end_)) {
             replies_lost_at_[lost.caller_proxy_boot_] = loop_.clock().now();
         }
-        end_link_attempts({lost.caller_proxy_boot_, lost.link_});
+        end_link_attempts(lost);
     }
     loop_.defer([owned = std::shared_ptr<net::frame_socket>(std::move(lost.socket_))] {});
 }
 
-// Ends the attempts of a lost link. Queued attempts are recorded as refused and will not run.
-// Running attempts are cancelled if they are idempotent or if part of their request body is
-// missing. Other runs continue, because their requests must not be repeated. The responses of ended
-// runs are kept for the next link, as far as the response store takes them.
-void target_proxy::end_link_attempts(link_key key) {
-    std::vector<target_proxy_attempt*> waiting;
-    std::vector<target_proxy_attempt*> cancelled;
-    std::vector<target_proxy_attempt*> ended;
-    for (auto& [attempt_key, attempt] : attempts_) {
-        if (attempt_key.caller_proxy_boot_ != key.caller_proxy_boot_ ||
-            attempt_key.attempt_.link_ != key.link_) {
-            continue;
-        }
-        if (attempt->ended()) {
-            ended.push_back(attempt.get());
-        } else if (!attempt->running()) {
-            waiting.push_back(attempt.get());
-        } else if (attempt->begin().idempotent || attempt->request_body_incomplete()) {
-            cancelled.push_back(attempt.get());
-        }
-    }
-    for (target_proxy_attempt* attempt : waiting) {
-        remove_from_queue(*attempt);
-        policy::refuse_attempt(ledger_, attempt->key());
-        finish(*attempt);
-    }
-    for (target_proxy_attempt* attempt : cancelled) {
-        attempt->cancel();
-    }
-    for (target_proxy_attempt* attempt : ended) {
-        replies_lost_at_[key.caller_proxy_boot_] = loop_.clock().now();
-        finish(*attempt);
-    }
-}
-
 void target_proxy::on_ping(connection& link, const wire::ping& ping) {
     wire::frame frame;
     frame.__isset.pong_ = true;
@@ -323,12 +289,6 @@
     const policy::link_resolution resolution =
         policy::resolve_link(ledger_, queried_link.caller_proxy_boot_, queried_link.link_,
                              request.guard_boot, request.sequences);
-    const auto old_link = links_.find(queried_link);
-    if (old_link != links_.end()) {
-        net::frame_socket* socket = old_link->second;
-        socket->close();
-        on_closed(*socket, net::closed_by_peer);
-    }
     for (const std::int64_t sequence : resolution.withdrawn_) {
         const auto waiting =
             attempts_.find({queried_link.caller_proxy_boot_, {queried_link.link_, sequence}});
@@ -337,6 +297,7 @@
             finish(*waiting->second);
         }
     }
+    cancel_unclaimed_runs(queried_link, request.sequences, "not asked for");
     wire::frame frame;
     frame.__isset.resolution_ = true;
     frame.resolution_.link = request.link;
@@ -397,8 +358,9 @@
 // day, so these records would accumulate otherwise.
 void target_proxy::expire_disconnected_caller_proxies() {
     const base::instant now = loop_.clock().now();
-    std::erase_if(replies_lost_at_,
-                  [&](const auto& lost) { return now - lost.second >= max_reconnect_wait; });
+    std::erase_if(replies_lost_at_, [&](const auto& lost) {
+        return now - lost.second >= policy::max_reconnect_wait;
+    });
     std::erase_if(disconnected_since_, [&](const auto& disconnected) {
         const std::int64_t boot = disconnected.first;
         const auto open_link = links_.lower_bound({boot, 0});
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -30,6 +31,7 @@
 #include "policy/drain.h"
 #include "policy/idle_connection.h"
 #include "policy/idle_target.h"
+#include "policy/lost_link.h"
 #include "policy/run_estimate.h"
 #include "policy/slot_queue.h"
 #include "policy/target_health.h"
@@ -162,6 +164,13 @@
         auto operator<=>(const link_key&) const = default;
     };
 
+    // A lost link with idempotent runs that its caller proxy has not asked for since.
+    struct unclaimed_link {
+        // Host of the caller proxy.
+        std::string host_;
+        policy::lost_link loss_;
+    };
+
     target_proxy(net::event_loop& loop, const config::settings& settings,
                  const config::header_policy& headers, const link_identity& identity,
                  const control::configuration& configuration, policy::response_memory& memory,
@@ -223,7 +232,16 @@
     void finish(target_proxy_attempt& attempt);
     void store_or_destroy(std::unique_ptr<target_proxy_attempt> attempt);
     void remove_from_queue(target_proxy_attempt& attempt);
-    void end_link_attempts(link_key key);
+    void end_link_attempts(const connection& lost);
+    static link_key own_link(const policy::ledger_key& key);
+    link_key response_link(const policy::ledger_key& key) const;
+    void close_earlier_links(const connection& link);
+    void set_replaced_at(std::int64_t caller_proxy_boot, std::optional<base::instant> replaced_at);
+    void cancel_runs_of_earlier_boots(const connection& link);
+    void start_unclaimed_timer();
+    void cancel_overdue_runs();
+    void cancel_unclaimed_runs(const link_key& key, std::span<const std::int64_t> wanted,
+                               const char* cause);
     void reroute_response(const policy::ledger_key& key, const link_key& requesting_link);
     void expire_disconnected_caller_proxies();
     connection* find_link(const link_key& key);
@@ -261,6 +279,9 @@
     // When a reply to each caller proxy was last lost with its link, keyed by its boot. A caller
     // proxy is removed when it asks for the replies on a new link.
     std::map<std::int64_t, base::instant> replies_lost_at_;
+    // A link is removed when its caller proxy asks for its attempts, or is known to want none.
+    std::map<link_key, unclaimed_link> unclaimed_links_;
+    net::timer unclaimed_timer_;
     net::timer expiry_timer_;
     net::timer check_timer_;
     base::random_engine random_;
