Keep an idempotent request that only the retry budget does not serve

Callers got 504 for reads with most of their time left, as soon as the status of a lost attempt was unknown and no retry was left in the budget of their process, or as the only attempt that their route allows had counted. A broken link also claimed one retry for each read on it, although its target's host lived and had the responses.

The decision on a retry has a new result, await_budget: the request may be retried and only the budget forbids it. It is decided on again each 100 ms until another run could no longer end in time, and answered then. A request that no retry could ever serve still ends at once. An attempt whose link was closed is asked about for 500 ms before a retry is claimed; Resolve's `running` and `done` reach the call, which goes on as for an attempt in progress, and the loss of that link too puts the attempt in doubt again. The target that lost a response may get the request once more if no other may, within the budget. Requests that must not run twice are decided on as before.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -48,7 +48,8 @@
     void on_refused(const wire::attempt_refused& refusal) override;
     void on_failed(const wire::attempt_failed& failure) override;
     void on_not_run() override;
-    void on_in_doubt() override;
+    void on_in_doubt(link_loss loss) override;
+    void on_response_expected() override;
     void on_unknown() override;
 
 private:
@@ -64,6 +65,15 @@
         policy::attempt_id id_;
         // End of the wait for the attempt's status, which is set when its link is lost.
         base::instant resolve_by_ = base::instant::max();
+        // Time by which the target proxy will most likely have reported the attempt's status, if
+        // its link was lost but the target proxy most likely lives.
+        base::instant status_due_at_{};
+        // The link was lost at least once.
+        bool was_in_doubt_ = false;
+        // The link is lost and the attempt's status is not known yet.
+        bool in_doubt_ = false;
+        // The target may get the request once more if the attempt may have run.
+        bool resendable_ = false;
         // The attempt was written to the target proxy's link.
         bool written_ = false;
         // The last part of the request's body was sent.
@@ -82,13 +92,24 @@
         std::string target_;
     };
 
+    // A retry, after an attempt that has ended, that the budget does not allow yet.
+    struct awaited_retry {
+        // Target of the attempt that was lost.
+        std::string target_;
+        bool resendable_ = false;
+        // The reason given to the caller if no retry takes place.
+        filter::reason reason_ = filter::reason::response_lost;
+    };
+
     void begin();
     void admit();
     bool has_body() const;
     bool body_buffered() const;
     void start_attempt();
     void send_attempt(const chosen_target& chosen);
-    bool resend_to_target();
+    std::optional<chosen_target> find_resend_target(const std::string& target) const;
+    void resend(const chosen_target& same);
+    void start_overdue_timer();
     void on_overdue();
     std::set<std::string> targets_used() const;
     std::optional<chosen_target> choose();
@@ -99,7 +120,14 @@
     void retry_after_refusal(const wire::attempt_refused& refusal);
     void attempt_ended(policy::attempt_outcome outcome, filter::reason reason,
                        bool budget_exempt = false);
+    policy::retry_context plan_retry(policy::attempt_outcome outcome, const std::string& target,
+                                     bool resendable, bool budget_exempt);
+    policy::retry_decision decide(const policy::retry_context& retry);
+    void start_retry(const std::string& target, const policy::retry_context& retry);
     void await_resolution();
+    void await_budget(base::duration run_duration);
+    bool budget_is_missing() const;
+    void on_budget_due();
     void on_decision_due();
     void start_rest_timer();
     policy::retry_context make_retry_context(policy::attempt_outcome outcome) const;
@@ -141,9 +169,13 @@
     net::timer deadline_timer_;
     // Expires when the attempt in progress takes far longer than expected.
     net::timer overdue_timer_;
-    // Expires when the next decision on an attempt in doubt is due.
+    // Expires when the next decision is due on an attempt in doubt or on a retry that waits for the
+    // budget.
     net::timer resolution_timer_;
     std::unique_ptr<current_attempt> attempt_;
+    std::optional<awaited_retry> awaited_retry_;
+    // Expected duration of another run, while the request waits for the budget.
+    std::optional<base::duration> awaited_run_duration_;
     // Targets that no further attempt uses: they received the request, refused it for a reason
     // other than being busy, or could not be reached.
     std::set<std::string> tried_targets_;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -199,12 +199,16 @@
     attempt_->id_ = attempt;
     attempt_->written_ = true;
     attempt_->credit_ = request_window_bytes;
+    start_overdue_timer();
+    send_pending_body();
+}
+
+void call::start_overdue_timer() {
     // A request that waits for a slot takes long because of the load, which another attempt raises.
     if (context_.idempotent_ && !may_wait_ && attempt_->run_duration_ > base::duration::zero()) {
         overdue_timer_.start(policy::overdue_after(attempt_->run_duration_),
                              [this] { on_overdue(); });
     }
-    send_pending_body();
 }
 
 // Gives up the attempt in progress for one at another target, if the retry budget allows it. During
@@ -286,32 +290,33 @@
     if (failure.__isset.report) {
         owner_.record_report(failure.report);
     }
-    if (failure.reason == wire::failure_reason::connection_lost && resend_to_target()) {
-        return;
-    }
     const bool response_lost = failure.reason == wire::failure_reason::answer_lost;
+    const bool connection_lost = failure.reason == wire::failure_reason::connection_lost;
+    const bool other_targets_left = attempts_ + 1 < context_.route_->attempts_;
+    attempt_->in_doubt_ = false;
+    attempt_->resendable_ = response_lost || (connection_lost && !other_targets_left);
     attempt_ended(policy::attempt_outcome::unknown,
                   response_lost ? filter::reason::response_lost : filter::reason::target_failed);
 }
 
-// Sends an idempotent request to the same target once more if its route allows no other target, the
-// target still accepts requests and the retry budget allows it. Returns whether it was sent.
-bool call::resend_to_target() {
-    const bool other_targets_left = attempts_ + 1 < context_.route_->attempts_;
-    if (head_sent_ || resent_ || other_targets_left || !context_.idempotent_ || !replayable()) {
-        return false;
-    }
-    const auto same = owner_.find_eligible(context_.service_->name_, attempt_->target_, run_kind());
-    if (!same || run_time_left() <= std::max(same->run_duration_, min_time_left()) ||
-        !owner_.claim_retry(context_.service_->name_, nested_)) {
-        return false;
+// Returns the target that lost an idempotent request's response, if the request may be sent to it
+// once more and it still accepts requests.
+std::optional<chosen_target> call::find_resend_target(const std::string& target) const {
+    if (resent_ || !context_.idempotent_) {
+        return std::nullopt;
     }
+    return owner_.find_eligible(context_.service_->name_, target, run_kind());
+}
+
+// Sends the request to the target of its last attempt, which is not counted: attempts count
+// targets.
+void call::resend(const chosen_target& same) {
     resent_ = true;
-    record_event("resent", attempt_->target_, time_left());
+    --attempts_;
+    tried_targets_.erase(same.target_->name_);
+    record_event("resent", same.target_->name_, time_left());
     owner_.dependencies_.metrics_.count_retry();
-    abandon_attempt();
-    send_attempt(*same);
-    return true;
+    send_attempt(same);
 }
 
 void call::on_not_run() {
@@ -320,13 +325,23 @@
 }
 
 void call::on_unknown() {
+    attempt_->in_doubt_ = false;
+    attempt_->resendable_ = true;
     attempt_ended(policy::attempt_outcome::unknown, filter::reason::response_lost);
 }
 
-void call::on_in_doubt() {
+void call::on_in_doubt(link_loss loss) {
+    if (attempt_->was_in_doubt_ && !context_.idempotent_) {
+        // It is awaited until its deadline since the first loss.
+        return;
+    }
+    attempt_->was_in_doubt_ = true;
+    attempt_->in_doubt_ = true;
     if (!head_sent_) {
-        const base::duration wait = policy::resolution_wait(context_.idempotent_, time_left());
-        attempt_->resolve_by_ = owner_.dependencies_.loop_.clock().now() + wait;
+        const base::instant now = owner_.dependencies_.loop_.clock().now();
+        attempt_->resolve_by_ = now + policy::resolution_wait(context_.idempotent_, time_left());
+        attempt_->status_due_at_ =
+            loss == link_loss::closed ? now + policy::usual_status_delay : now;
         attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::response_lost);
         return;
     }
@@ -340,8 +355,17 @@
     start_rest_timer();
 }
 
-// Limits the time for the rest of a response that broke off with its link. A second loss of a link
-// is not reported, so the time is also limited once the rest arrives.
+// The attempt counts as one in progress again, which may take until the request's deadline.
+void call::on_response_expected() {
+    attempt_->in_doubt_ = false;
+    if (context_.idempotent_ && !head_sent_) {
+        resolution_timer_.cancel();
+        start_overdue_timer();
+    }
+}
+
+// Limits the time for the rest of a response that broke off with its link, also once the rest
+// arrives.
 void call::start_rest_timer() {
     deadline_timer_.start(context_.service_->timeout_, [this] { on_deadline(); });
 }
@@ -356,37 +380,127 @@
         resume_or_abort();
         return;
     }
+    const std::string target = attempt_->target_;
     if (!budget_exempt) {
         ++attempts_;
-        tried_targets_.insert(attempt_->target_);
+        tried_targets_.insert(target);
     }
-    policy::retry_context retry = make_retry_context(outcome);
-    retry.budget_exempt_ = budget_exempt;
-    const auto other_choice = choose();
-    retry.other_target_ = other_choice.has_value();
-    retry.run_duration_ =
-        other_choice && !budget_exempt ? other_choice->run_duration_ : base::duration::zero();
-    const policy::retry_decision decision = owner_.decide_retry(context_.service_->name_, retry);
-    if (decision == policy::retry_decision::wait) {
+    const bool resendable = attempt_->resendable_;
+    const policy::retry_context retry = plan_retry(outcome, target, resendable, budget_exempt);
+    const policy::retry_decision decision = decide(retry);
+    const bool awaits_budget = decision == policy::retry_decision::await_budget;
+    if (decision == policy::retry_decision::wait || (awaits_budget && attempt_->in_doubt_)) {
         --attempts_;
-        tried_targets_.erase(attempt_->target_);
-        await_resolution();
+        tried_targets_.erase(target);
+        if (awaits_budget) {
+            await_budget(retry.run_duration_);
+        } else {
+            await_resolution();
+        }
         return;
     }
-    const std::string target = attempt_->target_;
     abandon_attempt();
     may_have_run_ = may_have_run_ || outcome != policy::attempt_outcome::not_run;
-    if (decision != policy::retry_decision::retry) {
+    if (awaits_budget) {
+        awaited_retry_ = {target, resendable, reason};
+        await_budget(retry.run_duration_);
+    } else if (decision == policy::retry_decision::retry) {
+        start_retry(target, retry);
+    } else {
         end_without_retry(decision, reason);
+    }
+}
+
+// Returns what the decision on another attempt depends on, after an attempt at `target`.
+// `resendable`: that target may get the request once more.
+policy::retry_context call::plan_retry(policy::attempt_outcome outcome, const std::string& target,
+                                       bool resendable, bool budget_exempt) {
+    policy::retry_context retry = make_retry_context(outcome);
+    retry.budget_exempt_ = budget_exempt;
+    const auto other = choose();
+    retry.other_target_ = other.has_value();
+    const bool other_allowed = other && (budget_exempt || attempts_ < context_.route_->attempts_);
+    const auto same = resendable && !other_allowed ? find_resend_target(target) : std::nullopt;
+    retry.same_target_ = same.has_value();
+    const auto& next = same ? same : other;
+    retry.run_duration_ = next && !budget_exempt ? next->run_duration_ : base::duration::zero();
+    if (outcome == policy::attempt_outcome::in_doubt && !attempt_->link_->failing()) {
+        const base::instant now = owner_.dependencies_.loop_.clock().now();
+        retry.status_due_in_ =
+            std::max<base::duration>(attempt_->status_due_at_ - now, base::duration::zero());
+    }
+    return retry;
+}
+
+policy::retry_decision call::decide(const policy::retry_context& retry) {
+    awaited_run_duration_.reset();
+    const auto decision = owner_.decide_retry(context_.service_->name_, retry);
+    // A target's failure that is held is a response already: the budget is not awaited.
+    return decision == policy::retry_decision::await_budget && held_failure_
+               ? policy::retry_decision::refuse_unknown
+               : decision;
+}
+
+// Starts the attempt that follows one at `target` and for which `retry` was decided.
+void call::start_retry(const std::string& target, const policy::retry_context& retry) {
+    if (retry.same_target_) {
+        resend(*find_resend_target(target));
         return;
     }
-    if (!budget_exempt) {
+    if (!retry.budget_exempt_) {
         record_event("retried", target, time_left());
         owner_.dependencies_.metrics_.count_retry();
     }
     start_attempt();
 }
 
+// Waits until the next decision on a retry that the budget does not allow yet.
+void call::await_budget(base::duration run_duration) {
+    if (!awaited_run_duration_) {
+        record_event("budget_awaited", attempt_ ? attempt_->target_ : awaited_retry_->target_,
+                     time_left());
+    }
+    awaited_run_duration_ = run_duration;
+    resolution_timer_.start(policy::decision_interval, [this] {
+        if (attempt_ != nullptr) {
+            on_decision_due();
+        } else {
+            on_budget_due();
+        }
+    });
+}
+
+// Returns true if the request waits for the budget and must go on waiting: another attempt could
+// still end in time.
+bool call::budget_is_missing() const {
+    return awaited_run_duration_ &&
+           run_time_left() > std::max(*awaited_run_duration_, min_time_left()) &&
+           !owner_.may_retry(context_.service_->name_, nested_);
+}
+
+// Decides again on a retry after an attempt that has ended. A target is chosen only once there is a
+// budget, because many requests may wait.
+void call::on_budget_due() {
+    if (budget_is_missing()) {
+        await_budget(*awaited_run_duration_);
+        return;
+    }
+    const awaited_retry awaited = *awaited_retry_;
+    const policy::retry_context retry =
+        plan_retry(policy::attempt_outcome::unknown, awaited.target_, awaited.resendable_, false);
+    const policy::retry_decision decision = decide(retry);
+    if (decision == policy::retry_decision::await_budget) {
+        await_budget(retry.run_duration_);
+        return;
+    }
+    awaited_retry_.reset();
+    if (decision == policy::retry_decision::retry) {
+        start_retry(awaited.target_, retry);
+    } else {
+        end_without_retry(decision, awaited.reason_);
+    }
+}
+
 // Waits until the next decision on the attempt in doubt. Its status is requested from the target
 // proxy, which may not reply.
 void call::await_resolution() {
@@ -396,13 +510,19 @@
                             [this] { on_decision_due(); });
 }
 
-// Decides again on the attempt in doubt. After the whole wait its status counts as unknown.
+// Decides again on the attempt in doubt. After the whole wait its status counts as unknown, but its
+// response is still accepted while the request waits for the budget.
 void call::on_decision_due() {
     if (time_left() <= base::duration::zero()) {
         on_deadline();
         return;
     }
     const bool wait_over = owner_.dependencies_.loop_.clock().now() >= attempt_->resolve_by_;
+    if (wait_over && budget_is_missing()) {
+        await_budget(*awaited_run_duration_);
+        return;
+    }
+    attempt_->resendable_ = wait_over;
     attempt_ended(wait_over ? policy::attempt_outcome::unknown : policy::attempt_outcome::in_doubt,
                   filter::reason::response_lost);
 }
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -34,6 +34,7 @@
 
 void call::on_response_head(const wire::answer_head& head) {
     resolution_timer_.cancel();
+    attempt_->in_doubt_ = false;
     if (head.__isset.report) {
         owner_.record_report(head.report);
     }
@@ -199,6 +200,7 @@
 void call::refuse(const filter::refusal& refusal) {
     finished_ = true;
     deadline_timer_.cancel();
+    resolution_timer_.cancel();
     if (nested_) {
         owner_.dependencies_.on_nested_call_failed_();
     }
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -19,6 +19,8 @@
 // max_reconnect_doublings times.
 constexpr base::duration base_reconnect_delay = base::milliseconds(50);
 constexpr int max_reconnect_doublings = 3;
+// Cause of the loss of a link whose peer does not answer.
+constexpr std::string_view peer_silent = "silent";
 
 std::string to_text(policy::attempt_id attempt) {
     return std::to_string(attempt.link_) + "/" + std::to_string(attempt.sequence_);
@@ -199,10 +201,11 @@
         }
         fail_pending();
     }
+    const link_loss loss = cause == peer_silent ? link_loss::silent : link_loss::closed;
     for (const policy::attempt_id attempt : in_doubt) {
         const auto found = attempts_.find(attempt);
         if (found != attempts_.end()) {
-            found->second->on_in_doubt();
+            found->second->on_in_doubt(loss);
         }
     }
     // A pause of this process says nothing about the peer.
@@ -332,7 +335,10 @@
     const bool settled =
         state == wire::attempt_state::not_run || state == wire::attempt_state::unknown;
     if (!settled) {
-        // The response follows on this link.
+        policy::record_response_expected(sent_attempts_, attempt);
+        if (attempt_events* listener = find_listener(to_wire(attempt))) {
+            listener->on_response_expected();
+        }
         return;
     }
     attempt_events* listener = take_listener(to_wire(attempt));
@@ -359,7 +365,7 @@
     const std::uint64_t received_bytes = socket_->bytes_received();
     policy::record_received(liveness_, received_bytes);
     if (policy::is_silent(liveness_)) {
-        handle_link_lost("silent");
+        handle_link_lost(peer_silent);
         return;
     }
     if (attempts_.empty() && !control_sent_ && !policy::awaits_pong(liveness_)) {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -22,6 +22,14 @@
 
 namespace dandelionridge::node {
 
+// How a link was lost.
+enum class link_loss {
+    // The link was closed or broken: the peer most likely lives.
+    closed,
+    // The peer did not answer.
+    silent,
+};
+
 // Receives the events of one attempt. on_refused, on_failed, on_not_run, on_unknown and the last
 // part of a body are final: no event follows them.
 class attempt_events {
@@ -42,7 +50,10 @@
     // will.
     virtual void on_not_run() = 0;
     // The link was lost; the status of the attempt will be queried from the target proxy.
-    virtual void on_in_doubt() = 0;
+    virtual void on_in_doubt(link_loss loss) = 0;
+    // The target proxy reported that the attempt runs or has ended: what follows of it comes on the
+    // new link. If that is lost as well, the attempt is in doubt again.
+    virtual void on_response_expected() = 0;
     // It cannot be determined whether the attempt ran.
     virtual void on_unknown() = 0;
 };
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -16,9 +16,6 @@
 // Maximum wait for a target proxy whose link was lost, if the request is idempotent.
 constexpr base::duration max_idempotent_resolution_wait = base::seconds(2);
 
-// Time between two decisions on an idempotent request that waits for such a target proxy.
-constexpr base::duration decision_interval = base::milliseconds(100);
-
 // Part of its share of the slack that a process may use from its start.
 constexpr double initial_slack_share = 0.3;
 
@@ -33,14 +30,24 @@
     return context.outcome_ == attempt_outcome::not_run && !context.may_have_run_before_;
 }
 
-// Returns true if another attempt can be sent, is allowed by the route and can end in time.
-bool retry_is_feasible(const retry_context& context) {
+// Returns true if another attempt can be sent, is allowed by the route and can end in time if it is
+// sent after `delay`.
+bool retry_is_feasible(const retry_context& context, base::duration delay) {
     const bool attempts_left = context.budget_exempt_ || context.attempts_ < context.max_attempts_;
-    const base::duration run_time_left = context.time_left_ - context.reserved_time_;
-    return context.replayable_ && context.other_target_ && attempts_left &&
+    const bool target_left = (context.other_target_ && attempts_left) || context.same_target_;
+    const base::duration run_time_left = context.time_left_ - context.reserved_time_ - delay;
+    return context.replayable_ && target_left &&
            run_time_left > std::max(context.run_duration_, context.min_time_left_);
 }
 
+// Returns true if the attempt most likely goes on, and another one can still be sent if its status
+// says otherwise.
+bool status_comes_first(const retry_context& context) {
+    return context.outcome_ == attempt_outcome::in_doubt &&
+           context.status_due_in_ > base::duration::zero() &&
+           retry_is_feasible(context, context.status_due_in_);
+}
+
 // Returns the interval that contains `now`, which is added if there is none, and evicts those that
 // lie entirely before the window.
 retry_budget::interval& interval_at(retry_budget& budget, const retry_limits& limits,
@@ -90,6 +97,10 @@
     return nested ? 1 : 1 - nested_reserve_share;
 }
 
+bool can_ever_retry(const retry_limits& limits, double share) {
+    return share * limits.ratio_ > 0 || share * limits.slack_ >= 1;
+}
+
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
                 base::instant now) {
     double requests = 0;
@@ -117,8 +128,12 @@
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now) {
     const double share = usable_budget_share(context.nested_);
-    if (retry_is_safe(context) && retry_is_feasible(context) &&
-        (context.budget_exempt_ || claim_retry(budget, limits, share, now))) {
+    if (status_comes_first(context)) {
+        return retry_decision::wait;
+    }
+    const bool possible =
+        retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
+    if (possible && (context.budget_exempt_ || claim_retry(budget, limits, share, now))) {
         return retry_decision::retry;
     }
     if (context.outcome_ == attempt_outcome::failed) {
@@ -128,6 +143,9 @@
         context.time_left_ > base::duration::zero()) {
         return retry_decision::wait;
     }
+    if (possible && context.outcome_ == attempt_outcome::unknown && can_ever_retry(limits, share)) {
+        return retry_decision::await_budget;
+    }
     const bool not_run =
         context.outcome_ == attempt_outcome::not_run && !context.may_have_run_before_;
     return not_run ? retry_decision::refuse_not_run : retry_decision::refuse_unknown;
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -24,6 +24,8 @@
     retry,
     // Wait for the target proxy's reply about the attempt, and decide again in the meantime.
     wait,
+    // Keep the request and decide again: only the budget does not allow a retry now.
+    await_budget,
     // Refuse the request and tell the caller that it certainly did not run.
     refuse_not_run,
     // Refuse the request and tell the caller that its outcome is unknown.
@@ -63,6 +65,9 @@
     bool may_have_run_before_ = false;
     // There is another target that may get the request.
     bool other_target_ = false;
+    // The target that lost the response may get the request once more. Attempts count targets, so
+    // this is possible also on a route that allows no further attempt.
+    bool same_target_ = false;
     // The attempt that ended reached no target, so another one does not use the budget.
     bool budget_exempt_ = false;
     // The request was made by a running request: if it fails, that run is lost as well.
@@ -75,6 +80,9 @@
     base::duration reserved_time_{};
     // Expected duration of another run; zero if unknown.
     base::duration run_duration_{};
+    // Time within which the target proxy of an attempt in doubt will most likely report its status;
+    // zero if it is not expected to.
+    base::duration status_due_in_{};
 };
 
 // Returns the part of its share of the fleet's slack that a process of that age may use. The
@@ -85,11 +93,19 @@
 // expected duration of its run at the present one.
 base::duration overdue_after(base::duration run_duration);
 
+// Time from the loss of a link to a process that most likely lives, until it has reported the
+// statuses of the link's attempts on a new link.
+inline constexpr base::duration usual_status_delay = base::milliseconds(500);
+
 // Returns how long to wait for a target proxy whose link was lost to report the status of an
 // attempt and to send its response. An idempotent request does not wait longer for one target: it
 // is sent to another one, or its caller is told, since the caller may send it again.
 base::duration resolution_wait(bool idempotent, base::duration time_left);
 
+// Time between two decisions on an idempotent request that waits for the budget or for the status
+// of its attempt.
+inline constexpr base::duration decision_interval = base::milliseconds(100);
+
 // Returns the time after which to decide again on an attempt in doubt, given the rest of the wait
 // for its status. Meanwhile the budget may allow a retry, or another target may have become
 // available; neither matters to a request that is not idempotent.
@@ -103,6 +119,9 @@
 void record_request(retry_budget& budget, const retry_limits& limits, double repeat_probability,
                     base::instant now);
 
+// Returns true if those limits can allow a retry at some time, given enough requests.
+bool can_ever_retry(const retry_limits& limits, double share);
+
 // Returns true if another retry fits into that share of the budget.
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
                 base::instant now);
@@ -110,7 +129,9 @@
 // Charges one retry to the budget if it fits into that share of it. Returns whether it did.
 bool claim_retry(retry_budget& budget, const retry_limits& limits, double share, base::instant now);
 
-// Returns what to do next, and charges a retry to the budget unless it is exempt.
+// Returns what to do next, and charges a retry to the budget unless it is exempt. An idempotent
+// request that a retry may still serve is not ended: while its attempt most likely goes on, it
+// waits for the attempt's status, and otherwise for the budget.
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now);
 
--- a/src/policy/sent_attempts.cpp
+++ b/src/policy/sent_attempts.cpp
@@ -46,6 +46,13 @@
     return opening;
 }
 
+void record_response_expected(sent_attempts& state, attempt_id attempt) {
+    const auto found = state.unsettled_.find(attempt);
+    if (found != state.unsettled_.end()) {
+        found->second.link_lost_ = false;
+    }
+}
+
 std::vector<attempt_id> mark_link_lost(sent_attempts& state) {
     state.current_link_.reset();
     return mark_attempts_lost(state);
--- a/src/policy/sent_attempts.h
+++ b/src/policy/sent_attempts.h
@@ -25,7 +25,8 @@
 struct sent_attempt {
     // Boot of the target proxy that the attempt was sent to.
     std::int64_t target_proxy_boot_ = 0;
-    // The link that carried the attempt is lost, so its status must be queried.
+    // The link that carried the attempt or was to carry its response is lost, so its status must be
+    // queried.
     bool link_lost_ = false;
 };
 
@@ -60,6 +61,10 @@
 // Precondition: allocate_link_number() was called for the link.
 link_opening confirm_link(sent_attempts& state, std::int64_t target_proxy_boot);
 
+// Records that the target proxy will send an attempt's response on the open link: the attempt is in
+// doubt again if that link is lost as well.
+void record_response_expected(sent_attempts& state, attempt_id attempt);
+
 // Records that the open link, or the one about to open, is lost. Returns the attempts that are now
 // in doubt.
 std::vector<attempt_id> mark_link_lost(sent_attempts& state);
