Record what each target got and why targets were passed over

Callers of a service whose hosts were lost in part were refused while sound targets stood idle. The logs could not say why: whether no request came, the links were not back, the targets were ejected, or no retry was left in the budget.

The target proxy now counts refused attempts by reason and logs once a second what each target got. The caller proxy counts why targets were passed over, and logs once a second and service when a choice found no target, or fewer available than the minimum share, and how many retries the budget denied. An ejection names the failed runs that led to it, with the time since a call of the target failed.

--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -60,7 +60,8 @@
 caller_proxy::caller_proxy(caller_proxy_dependencies dependencies)
     : dependencies_(std::move(dependencies)),
       started_at_(dependencies_.loop_.clock().now()),
-      random_(base::make_random_engine()) {}
+      random_(base::make_random_engine()),
+      choices_(dependencies_.loop_, dependencies_.events_) {}
 
 // Destroys the server first, because the calls that end with its connections use other members.
 caller_proxy::~caller_proxy() {
@@ -218,15 +219,25 @@
 }
 
 bool caller_proxy::claim_retry(const std::string& service, bool nested) {
-    return policy::claim_retry(retry_budgets_[service], retry_limits(),
-                               policy::usable_budget_share(nested),
-                               dependencies_.loop_.clock().now());
+    const bool claimed =
+        policy::claim_retry(retry_budgets_[service], retry_limits(),
+                            policy::usable_budget_share(nested), dependencies_.loop_.clock().now());
+    if (!claimed) {
+        choices_.record_retry_denied(service);
+    }
+    return claimed;
 }
 
 policy::retry_decision caller_proxy::decide_retry(const std::string& service,
                                                   const policy::retry_context& context) {
-    return policy::decide_retry(retry_budgets_[service], retry_limits(), context,
-                                dependencies_.loop_.clock().now());
+    const policy::retry_decision decision = policy::decide_retry(
+        retry_budgets_[service], retry_limits(), context, dependencies_.loop_.clock().now());
+    const bool status_awaited = context.status_due_in_ > base::duration::zero();
+    if (decision != policy::retry_decision::retry && !status_awaited &&
+        policy::may_retry_within_budget(context)) {
+        choices_.record_retry_denied(service);
+    }
+    return decision;
 }
 
 policy::candidate caller_proxy::make_candidate(const config::host_entry& host,
@@ -321,10 +332,12 @@
         const config::host_entry& host = hosts.hosts_[target_index.host_];
         const config::target_entry& target = host.targets_[target_index.target_];
         policy::candidate candidate = make_candidate(host, target, listed->rule_, criteria.kind_);
-        candidate.excluded_ = candidate.excluded_ || excluded.contains(target.name_);
+        candidate.tried_ = excluded.contains(target.name_);
         candidates.push_back(candidate);
     }
     const auto chosen = policy::choose_target(candidates, criteria, random_);
+    choices_.record_choice(service, policy::count_availability(candidates), chosen.has_value(),
+                           criteria.min_share_);
     if (!chosen) {
         return std::nullopt;
     }
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -18,6 +18,7 @@
 #include "control/quota.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "node/choice_log.h"
 #include "node/link_pool.h"
 #include "node/target_views.h"
 #include "observe/event.h"
@@ -108,6 +109,8 @@
 
     bool listening() const { return listening_; }
 
+    const choice_log& choices() const { return choices_; }
+
 private:
     friend class call;
 
@@ -179,6 +182,7 @@
     bool listening_ = true;
     std::optional<policy::planned_stop> drain_;
     target_views views_;
+    choice_log choices_;
     // Targets that reported that they are leaving.
     policy::departures departures_;
     // Keyed by service name.
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -56,7 +56,8 @@
       unclaimed_timer_(loop),
       expiry_timer_(loop),
       check_timer_(loop),
-      random_(base::make_random_engine()) {
+      random_(base::make_random_engine()),
+      activity_(events) {
     check_targets();
     expiry_timer_.start(expiry_interval, [this] { expire_disconnected_caller_proxies(); });
     ledger_.boot_ = identity.boot_;
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -24,6 +24,8 @@
 #include "node/admission.h"
 #include "node/peer_link.h"
 #include "node/response_store.h"
+#include "node/run_failure.h"
+#include "node/target_activity.h"
 #include "node/target_proxy_attempt.h"
 #include "observe/event.h"
 #include "policy/attempt_ledger.h"
@@ -86,6 +88,7 @@
     bool all_delivered() const;
 
     const target_proxy_counters& counters() const { return counters_; }
+    const target_activity& activity() const { return activity_; }
 
     void on_open(net::frame_socket& socket) override;
     void on_frame(net::frame_socket& socket, wire::frame&& frame) override;
@@ -146,6 +149,8 @@
         std::unique_ptr<net::http_client_pool> pool_;
         policy::slot_queue queue_;
         policy::target_health health_;
+        // Failed runs since the target was last healthy for certain.
+        run_failures failures_;
         policy::run_estimates run_estimates_;
         policy::target_rate rate_;
         policy::idle_connection_limit idle_limit_;
@@ -213,8 +218,11 @@
                     int factor) const;
     void record_overdue_runs();
     void record_outcome(target_state& target, policy::run_outcome outcome);
+    void record_failure(target_state& target, const target_proxy_attempt& attempt,
+                        run_failure_cause cause);
     bool ended_at_deadline(const target_proxy_attempt& attempt) const;
-    bool failed_by_target(const target_proxy_attempt& attempt, attempt_result result) const;
+    std::optional<run_failure_cause> failure_of(const target_proxy_attempt& attempt,
+                                                attempt_result result) const;
     wire::target_report make_report(const target_state& target) const;
     void record_health_change(const target_state& target);
     void record_departure(const target_state& target);
@@ -228,6 +236,7 @@
     const target_state* find_state(const wire::attempt_begin& begin) const;
     void refuse_unrunnable_waiting();
     void request_probe_traffic(target_state& target);
+    void record_activity();
     void check_targets();
     void finish(target_proxy_attempt& attempt);
     void store_or_destroy(std::unique_ptr<target_proxy_attempt> attempt);
@@ -292,6 +301,7 @@
     // This host's targets that reported that they are leaving.
     policy::departures departures_;
     target_proxy_counters counters_;
+    target_activity activity_;
     // The planned stop in progress, if there is one.
     std::optional<policy::planned_stop> stop_;
     // No attempts are taken any more.
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -160,6 +160,7 @@
                                 wire::refusal_reason reason, const target_state* target,
                                 base::duration retry_after) {
     ++counters_.refused_;
+    activity_.record_refused(target == nullptr ? std::string() : target->name_, reason);
     wire::frame frame;
     frame.__isset.refused_ = true;
     frame.refused_.attempt = attempt;
@@ -304,6 +305,7 @@
     ++counters_.started_;
     target_state& state = targets_[target_key];
     ++state.in_flight_;
+    activity_.record_started(state.name_, attempt.begin().nested);
     policy::record_sent(state.rate_, loop_.clock().now());
     state.idle_state_.last_run_at_ = loop_.clock().now();
     policy::begin_trial(state.health_);
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -42,6 +42,7 @@
         // Another target uses this address now: what is known of the previous one does not apply.
         target.name_ = name;
         target.health_ = {};
+        target.failures_.clear();
         target.run_estimates_ = {};
         target.rate_ = {};
         target.idle_limit_ = {};
@@ -75,7 +76,7 @@
             target->second.name_ == attempt->begin().target_name &&
             is_overdue(target->second, *attempt, overdue_run_factor)) {
             attempt->set_overdue();
-            record_outcome(target->second, policy::run_outcome::failed);
+            record_failure(target->second, *attempt, run_failure_cause::overdue);
         }
     }
 }
@@ -86,56 +87,78 @@
            loop_.clock().now() >= attempt.deadline() - deadline_tolerance;
 }
 
-// Returns true if the outcome of a run counts as a failure of its target. Server errors, timeouts
-// and cancelled runs do not count if a call that the target made failed since the run began,
-// because that call may be the cause.
-bool target_proxy::failed_by_target(const target_proxy_attempt& attempt,
-                                    attempt_result result) const {
+// Returns why the outcome of a run counts as a failure of its target, or nothing if it does not.
+// Server errors, timeouts and cancelled runs do not count if a call that the target made failed
+// since the run began, because that call may be the cause.
+std::optional<run_failure_cause> target_proxy::failure_of(const target_proxy_attempt& attempt,
+                                                          attempt_result result) const {
     if (attempt.overdue()) {
         // Counted already, when it became overdue.
-        return false;
+        return std::nullopt;
     }
+    const auto ended_overdue = [&] {
+        return is_overdue(targets_.at(attempt.target_key()), attempt, overdue_end_factor)
+                   ? std::optional(run_failure_cause::ended_overdue)
+                   : std::nullopt;
+    };
     switch (result) {
         case attempt_result::responded:
             if (ended_at_deadline(attempt)) {
-                return is_overdue(targets_.at(attempt.target_key()), attempt, overdue_end_factor);
+                return ended_overdue();
             }
             return attempt.response().head_.status >= min_server_error_status &&
-                   last_failed_call_at_ < attempt.run_started_at();
+                           last_failed_call_at_ < attempt.run_started_at()
+                       ? std::optional(run_failure_cause::server_error)
+                       : std::nullopt;
         case attempt_result::invalid_response:
-            return true;
+            return run_failure_cause::invalid_response;
         case attempt_result::timed_out:
         case attempt_result::cancelled:
-            return is_overdue(targets_.at(attempt.target_key()), attempt, overdue_end_factor);
+            return ended_overdue();
         case attempt_result::not_run:
         case attempt_result::connection_lost:
             break;
     }
-    return false;
+    return std::nullopt;
 }
 
 // Updates the run estimates and the health of a target from the outcome of a run. An outcome that
 // is neither a success nor a failure of the target only ends a trial.
 void target_proxy::record_run(target_state& target, const target_proxy_attempt& attempt,
                               attempt_result result) {
-    const bool failed = failed_by_target(attempt, result);
+    const auto failure = failure_of(attempt, result);
     const bool succeeded = result == attempt_result::responded &&
                            attempt.response().head_.status < min_server_error_status;
     if (succeeded) {
         policy::record_run(target.run_estimates_, kind_of(attempt.begin()),
                            loop_.clock().now() - attempt.run_started_at());
     }
-    if (!failed && !succeeded) {
+    if (failure) {
+        record_failure(target, attempt, *failure);
+    } else if (succeeded) {
+        record_outcome(target, policy::run_outcome::succeeded);
+    } else {
         policy::end_trial(target.health_);
-        return;
     }
-    record_outcome(target, failed ? policy::run_outcome::failed : policy::run_outcome::succeeded);
+}
+
+void target_proxy::record_failure(target_state& target, const target_proxy_attempt& attempt,
+                                  run_failure_cause cause) {
+    const base::instant now = loop_.clock().now();
+    const bool call_failed = last_failed_call_at_ != base::instant{};
+    target.failures_.add({attempt.begin().request_id, cause, now - attempt.run_started_at(),
+                          call_failed ? now - last_failed_call_at_ : base::duration::max()});
+    record_outcome(target, policy::run_outcome::failed);
 }
 
 void target_proxy::record_outcome(target_state& target, policy::run_outcome outcome) {
     if (policy::record_outcome(target.health_, outcome, loop_.clock().now())) {
         record_health_change(target);
     }
+    if (target.health_.state_ == policy::health_state::healthy &&
+        outcome == policy::run_outcome::succeeded) {
+        target.failures_.clear();
+    }
 }
 
 wire::target_report target_proxy::make_report_for(const target_proxy_attempt& attempt) {
@@ -178,12 +201,13 @@
 // message to each host.
 void target_proxy::record_health_change(const target_state& target) {
     const wire::target_report report = make_report(target);
-    events_.record(
-        loop_.clock().wall_ms(),
-        report.ejected    ? "target_ejected"
-        : report.on_trial ? "target_on_trial"
-                          : "target_readmitted",
-        {{"target", target.name_}, {"suspicion_percent", std::to_string(report.suspicion)}});
+    events_.record(loop_.clock().wall_ms(),
+                   report.ejected    ? "target_ejected"
+                   : report.on_trial ? "target_on_trial"
+                                     : "target_readmitted",
+                   {{"target", target.name_},
+                    {"suspicion_percent", std::to_string(report.suspicion)},
+                    {"failed_runs", target.failures_.to_text()}});
     send_report(target, loop_.clock().now() - recent_use);
 }
 
@@ -302,11 +326,25 @@
     }
 }
 
+// Records once a second what each target got.
+void target_proxy::record_activity() {
+    const base::instant now = loop_.clock().now();
+    if (!activity_.is_interval_over(now)) {
+        return;
+    }
+    for (const auto& [key, target] : targets_) {
+        activity_.record_interval(target.name_, {target.in_flight_, target.queue_.waiting_.size(),
+                                                 policy::to_text(target.health_.state_)});
+    }
+    activity_.begin_interval(now);
+}
+
 // Updates the health of all targets, requests probe traffic for idle ones, and dispatches their
 // queues. Runs periodically.
 void target_proxy::check_targets() {
     const base::instant now = loop_.clock().now();
     record_overdue_runs();
+    record_activity();
     if (stop_) {
         refuse_unrunnable_waiting();
     }
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -11,14 +11,18 @@
 
 event_log::event_log(event_source source) : source_(std::move(source)) {}
 
-void event_log::record(std::int64_t wall_ms, std::string_view kind,
-                       std::vector<event_field> fields) {
+void event_log::log(std::string_view kind, const std::vector<event_field>& fields) const {
     nlohmann::json log_line = {
         {"host", source_.host_}, {"zone", source_.zone_}, {"boot", source_.boot_}, {"event", kind}};
     for (const event_field& field : fields) {
         log_line[field.name_] = field.value_;
     }
     LOG(INFO) << json_text(log_line);
+}
+
+void event_log::record(std::int64_t wall_ms, std::string_view kind,
+                       std::vector<event_field> fields) {
+    log(kind, fields);
     events_.push_back({next_sequence_, wall_ms, std::string(kind), std::move(fields)});
     ++next_sequence_;
     if (events_.size() > event_log_capacity) {
--- a/src/observe/event.h
+++ b/src/observe/event.h
@@ -44,6 +44,9 @@
     // Keeps an event and logs it as one line of JSON.
     void record(std::int64_t wall_ms, std::string_view kind, std::vector<event_field> fields);
 
+    // Logs a line without keeping it, so that frequent lines do not displace kept events.
+    void log(std::string_view kind, const std::vector<event_field>& fields) const;
+
     const std::deque<event>& events() const { return events_; }
     const event_source& source() const { return source_; }
 
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -162,10 +162,6 @@
     return sampled;
 }
 
-bool has_free_slot(const candidate& target) {
-    return target.load_ + 1 <= std::max(1, target.slots_);
-}
-
 // What the search for a target depends on, besides its stage.
 struct search_context {
     std::span<const candidate> candidates_;
@@ -179,7 +175,8 @@
 // Returns true if the target may get the request in that stage.
 bool is_eligible(const search_context& search, std::size_t index, search_stage stage) {
     const candidate& target = search.candidates_[index];
-    if (target.excluded_ || target.unreachable_ || too_likely_to_fail(target, search.criteria_) ||
+    if (target.excluded_ || target.tried_ || target.unreachable_ ||
+        too_likely_to_fail(target, search.criteria_) ||
         (stage == search_stage::sample && !search.sampled_[index])) {
         return false;
     }
@@ -250,6 +247,10 @@
 
 }  // namespace
 
+bool has_free_slot(const candidate& target) {
+    return target.load_ + 1 <= std::max(1, target.slots_);
+}
+
 std::optional<base::duration> median_duration(std::vector<base::duration> durations) {
     std::erase_if(durations,
                   [](base::duration duration) { return duration <= base::duration::zero(); });
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -52,9 +52,10 @@
     // The process beside the target stops. The target gets a request only if no other has a free
     // slot, since the process may refuse it.
     bool stopping_ = false;
-    // The target must not get the request, for example because its host is leaving or because the
-    // target was tried already.
+    // The target must not get the request, for example because its host is leaving.
     bool excluded_ = false;
+    // The request was sent to the target already, or refused by it.
+    bool tried_ = false;
 };
 
 // Properties of a request that decide which target it gets.
@@ -78,6 +79,9 @@
     bool allow_ejected_ = false;
 };
 
+// Returns true if the target seems to have a slot for another request.
+bool has_free_slot(const candidate& target);
+
 // Returns the median of the durations above zero; nothing if there is none.
 std::optional<base::duration> median_duration(std::vector<base::duration> durations);
 
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -125,14 +125,17 @@
     return true;
 }
 
+bool may_retry_within_budget(const retry_context& context) {
+    return retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
+}
+
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now) {
     const double share = usable_budget_share(context.nested_);
     if (status_comes_first(context)) {
         return retry_decision::wait;
     }
-    const bool possible =
-        retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
+    const bool possible = may_retry_within_budget(context);
     if (possible && (context.budget_exempt_ || claim_retry(budget, limits, share, now))) {
         return retry_decision::retry;
     }
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -129,6 +129,9 @@
 // Charges one retry to the budget if it fits into that share of it. Returns whether it did.
 bool claim_retry(retry_budget& budget, const retry_limits& limits, double share, base::instant now);
 
+// Returns true if a retry is safe and can end in time, so that only the budget decides on it.
+bool may_retry_within_budget(const retry_context& context);
+
 // Returns what to do next, and charges a retry to the budget unless it is exempt. An idempotent
 // request that a retry may still serve is not ended: while its attempt most likely goes on, it
 // waits for the attempt's status, and otherwise for the budget.
--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -44,6 +44,18 @@
 
 }  // namespace
 
+std::string_view to_text(health_state state) {
+    switch (state) {
+        case health_state::healthy:
+            return "healthy";
+        case health_state::ejected:
+            return "ejected";
+        case health_state::on_trial:
+            break;
+    }
+    return "on_trial";
+}
+
 double decayed_suspicion(double suspicion, base::duration age) {
     const std::chrono::duration<double> elapsed = age;
     const double remaining = std::exp(-std::max(0.0, elapsed.count()) / suspicion_decay_s);
--- a/src/policy/target_health.h
+++ b/src/policy/target_health.h
@@ -6,6 +6,8 @@
 // after which idempotent requests test it one at a time.
 #pragma once
 
+#include <string_view>
+
 #include "base/clock.h"
 
 namespace dandelionridge::policy {
@@ -14,6 +16,8 @@
 // target accepts none, and a target on trial accepts one at a time.
 enum class health_state { healthy, ejected, on_trial };
 
+std::string_view to_text(health_state state);
+
 // Probability that a target is failing while nothing is known of it.
 inline constexpr double prior_suspicion = 0.25;
 
