Check the links to other hosts when one is found silent

Where many hosts stood still, each of the others found every one of them by itself, by a request that was lost to it.

A process that gives a link up as silent now pings the peers of its open, quiet links, at most 64 a second, so that the others that stand still are found within two pings instead of by requests. A peer that answers is not affected, and the cost does not grow with the fleet.

The new test failed before: of three frozen hosts one was found, and the links to the others stayed open for the 60 s that it waits.

--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -12,6 +12,10 @@
 // would take most of a process's descriptors.
 constexpr std::size_t max_hosts_kept_open = 1024;
 
+// Bounds on the pings that are sent because a peer was found silent.
+constexpr base::duration min_check_interval = base::seconds(1);
+constexpr std::size_t max_checked_links = 64;
+
 std::string key_of(const config::host_entry& host) {
     return host.name_ + "@" + base::to_string(host.address_);
 }
@@ -26,7 +30,8 @@
       traffic_(traffic),
       events_(events),
       listener_(listener),
-      sweep_timer_(loop) {
+      sweep_timer_(loop),
+      random_(base::make_random_engine()) {
     sweep_timer_.start(sweep_interval, [this] { remove_idle_links(); });
 }
 
@@ -82,6 +87,22 @@
     }
 }
 
+void link_pool::check_links() {
+    const base::instant now = loop_.clock().now();
+    if (links_.empty() || now - last_check_ < min_check_interval) {
+        return;
+    }
+    last_check_ = now;
+    auto next = links_.begin();
+    std::advance(next, static_cast<std::ptrdiff_t>(base::random_below(random_, links_.size())));
+    for (std::size_t i = 0; i < std::min(max_checked_links, links_.size()); ++i) {
+        next->second->check();
+        if (++next == links_.end()) {
+            next = links_.begin();
+        }
+    }
+}
+
 bool link_pool::is_reachable(const std::string& host) const {
     const auto found = current_links_.find(host);
     if (found == current_links_.end()) {
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/random.h"
 #include "config/host_list.h"
 #include "node/peer_link.h"
 
@@ -31,6 +32,10 @@
     // Reconnects to a host at once, because it has opened a link to this host and so is reachable.
     void on_peer_connected(const std::string& host);
 
+    // Pings the peers of links that are open and quiet. Called when a peer was found silent: others
+    // often are for the same cause, and each would otherwise be found by a request that is lost.
+    void check_links();
+
     // Returns true if the host of that name can be reached as far as is known: its current link is
     // open or, where links are opened on demand, none has failed.
     bool is_reachable(const std::string& host) const;
@@ -53,6 +58,8 @@
     std::unordered_map<std::string, peer_link*> current_links_;
     net::timer sweep_timer_;
     bool keeps_all_open_ = true;
+    base::instant last_check_{};
+    base::random_engine random_;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -288,6 +288,10 @@
     gossip_.on_versions(peer, versions, reply);
 }
 
+void node::on_peer_silent(const std::string& /*peer*/) {
+    links_->check_links();
+}
+
 void node::on_control_frame(const std::string& peer, wire::frame&& frame,
                             const control::frame_sender& reply) {
     wire::frame reply_frame;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,6 +51,7 @@
     void on_control_frame(const std::string& peer, wire::frame&& frame,
                           const control::frame_sender& reply) override;
     void on_peer_draining(const std::string& peer, bool draining) override;
+    void on_peer_silent(const std::string& peer) override;
     void on_target_report(const wire::target_report& report) override;
 
     void send(const std::string& host, const wire::frame& frame) override;
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -361,11 +361,21 @@
     }
 }
 
+void peer_link::check() {
+    end_outdated_link();
+    if (is_open() && !pinging_) {
+        pinging_ = true;
+        control_sent_ = true;
+        on_ping_due();
+    }
+}
+
 void peer_link::on_ping_due() {
     const std::uint64_t received_bytes = socket_->bytes_received();
     policy::record_received(liveness_, received_bytes);
     if (policy::is_silent(liveness_)) {
         handle_link_lost(peer_silent);
+        listener_.on_peer_silent(peer_);
         return;
     }
     if (attempts_.empty() && !control_sent_ && !policy::awaits_pong(liveness_)) {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -85,6 +85,8 @@
                                   const control::frame_sender& reply) = 0;
     // The peer reported whether it is draining.
     virtual void on_peer_draining(const std::string& peer, bool draining) = 0;
+    // The link to the peer was given up because the peer did not answer.
+    virtual void on_peer_silent(const std::string& peer) = 0;
     // The peer reported on a target of its host.
     virtual void on_target_report(const wire::target_report& report) = 0;
 };
@@ -137,6 +139,10 @@
     // at once until a link is open.
     bool failing() const { return failures_ > 1; }
 
+    // Sends a ping if the link is open and quiet, so that a silent peer is found before a request
+    // is sent to it.
+    void check();
+
     // Returns true if no link is open although one was needed: an attempt may have to wait.
     bool reconnecting() const { return !is_open() && (failures_ > 0 || socket_ != nullptr); }
 
--- a/tests/process_pause_test.cpp
+++ b/tests/process_pause_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "net/event_loop.h"
 #include "support/plans.h"
@@ -71,3 +72,24 @@
     CHECK(fleet.runs_of("a") == 1);
     CHECK(no_attempt_in_doubt(fleet, "h1"));
 }
+
+// Guards against: each of several hosts that stand still was found only by a request that was lost
+// to it.
+TEST_CASE("a silent host is a reason to check the links to the others", "[pause]") {
+    const std::vector<std::string> silent_hosts = {"h2", "h3", "h4"};
+    fleet_plan plan = orders_plan({"z1", "z2", "z2", "z2"}, silent_hosts, "slots=5 timeout=20s");
+    plan.extra_settings_ = "freshness = lenient\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    std::this_thread::sleep_for(idle_time);
+    for (const std::string& host : silent_hosts) {
+        fleet.host(host).send_signal(SIGSTOP);
+    }
+    auto request = send_in_background(order_request(fleet, "h1", "a", "POST"));
+    CHECK(wait_for([&] { return fleet.status_number("h1", "/links_open") == 1; }));
+    for (const std::string& host : silent_hosts) {
+        fleet.host(host).send_signal(SIGCONT);
+    }
+    request.get();
+    CHECK(fleet.runs_of("a") <= 1);
+}
