Prefer other targets while a host leaves a ping unanswered

Requests went to a host that did not answer until its link was given up, 600 ms after the first ping: each of them was in doubt, and those that are not idempotent ended as unknown.

A link whose ping was still unanswered when the next one was sent counts as disconnected in the choice of a target, so other targets are preferred. Nothing is ejected: any byte from the peer clears it.

--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -370,6 +370,10 @@
     }
 }
 
+bool peer_link::suspected() const {
+    return is_open() && policy::is_suspected(liveness_, socket_->bytes_received());
+}
+
 void peer_link::on_ping_due() {
     const std::uint64_t received_bytes = socket_->bytes_received();
     policy::record_received(liveness_, received_bytes);
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -143,6 +143,10 @@
     // is sent to it.
     void check();
 
+    // Returns true if the peer left a ping unanswered for a whole interval and has sent nothing
+    // since.
+    bool suspected() const;
+
     // Returns true if no link is open although one was needed: an attempt may have to wait.
     bool reconnecting() const { return !is_open() && (failures_ > 0 || socket_ != nullptr); }
 
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -35,7 +35,8 @@
     // The target was started a short while ago and is slower than usual.
     bool warming_ = false;
     // The link to the target's host is not open although it was needed, so a request may have to
-    // wait for it. A link that was never needed does not count.
+    // wait for it, or the host has left a ping unanswered. A link that was never needed does not
+    // count.
     bool disconnected_ = false;
     // More than once in a row, the link to the target's host was lost or could not be opened.
     bool unreachable_ = false;
--- a/src/policy/link_liveness.cpp
+++ b/src/policy/link_liveness.cpp
@@ -30,6 +30,11 @@
     }
 }
 
+bool is_suspected(const link_liveness& liveness, std::uint64_t received_bytes) {
+    return liveness.last_ping_ - liveness.last_pong_ > 1 &&
+           received_bytes == liveness.received_bytes_;
+}
+
 bool is_silent(const link_liveness& liveness) {
     return liveness.last_ping_ - liveness.last_pong_ >= max_unanswered_pings;
 }
--- a/src/policy/link_liveness.h
+++ b/src/policy/link_liveness.h
@@ -26,6 +26,10 @@
 // for its pong, which may wait behind them.
 void record_received(link_liveness& liveness, std::uint64_t received_bytes);
 
+// Returns true if a ping had no answer when the next one was sent, and nothing has been received
+// since. The peer may be silent, but the link is not given up yet.
+bool is_suspected(const link_liveness& liveness, std::uint64_t received_bytes);
+
 // Returns true if several pings were not answered.
 bool is_silent(const link_liveness& liveness);
 
--- a/src/policy/target_availability.h
+++ b/src/policy/target_availability.h
@@ -20,7 +20,7 @@
     tried,
     // More than once in a row, the link to the target's host was lost or could not be opened.
     unreachable,
-    // The link to the target's host was lost or is being opened.
+    // The link to the target's host was lost or is being opened, or a ping on it is unanswered.
     reconnecting,
     ejected,
     on_trial,
--- a/tests/link_liveness_test.cpp
+++ b/tests/link_liveness_test.cpp
@@ -47,3 +47,17 @@
     record_ping(liveness, received);
     CHECK(silent_with(liveness, received));
 }
+
+// Guards against: requests go to a host that leaves pings unanswered until its link is given up, or
+// a ping whose answer is still on its way counts against its peer.
+TEST_CASE("a peer is suspected once a ping was unanswered for a whole interval") {
+    link_liveness liveness;
+    record_ping(liveness, 100);
+    CHECK_FALSE(is_suspected(liveness, 100));
+    record_ping(liveness, 100);
+    CHECK(is_suspected(liveness, 100));
+    // Whatever arrives clears the peer, be it the late answer or anything else.
+    CHECK_FALSE(is_suspected(liveness, 101));
+    record_pong(liveness, 1);
+    CHECK_FALSE(is_suspected(liveness, 100));
+}
