Show that a response that loses a second link is never ended

Failing test only; the fault is not mended here. call::on_in_doubt returns for an attempt that is not idempotent and was in doubt before, also once its head was passed on: then neither the deadline nor the timer for the rest runs. process_lost_link_test: the caller had neither the rest nor an end 14.4 s after the second loss, until it gave up; allowed 4.3 s (timeout of the service 4 s).

--- a/tests/process_lost_link_test.cpp
+++ b/tests/process_lost_link_test.cpp
@@ -275,3 +275,27 @@
     CHECK(count_in_log(fleet, "h2", R"("cause":"no later link")") == 1);
     CHECK(read.get().status_ == 504);
 }
+
+// Guards against: a response that breaks off with the second link that its attempt loses, and that
+// nothing ends: the first loss came before its head, which ends the request's deadline.
+TEST_CASE("a response that breaks off with a second link is ended in time", "[lost-link]") {
+    constexpr milliseconds service_timeout(4000);
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=4s");
+    plan.relayed_hosts_ = {"h2"};
+    plan.extra_settings_ = "freshness = lenient\n[retries]\nratio = 0\nslack = 0\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.mode_ = target_mode::endless_body, .delay_ = milliseconds(1500)});
+    caller_request request = order_request(fleet, "h1", "a", "POST");
+    request.discard_body_ = true;
+    request.timeout_ms_ = (4 * service_timeout).count();
+    auto response = send_in_background(request);
+    REQUIRE(wait_for([&] { return has_run(fleet, "a"); }));
+    cut_link(fleet);
+    REQUIRE(wait_for([&] { return request.body_started_->load(); }));
+    fleet.relay_of("h2").refuse_new_links(true);
+    cut_link(fleet);
+    const auto lost_at = std::chrono::steady_clock::now();
+    CHECK_FALSE(response.get().timed_out_);
+    CHECK(std::chrono::steady_clock::now() - lost_at <= service_timeout + observation_time);
+}
