--- a/tests/process_lost_link_test.cpp
+++ b/tests/process_lost_link_test.cpp
@@ -299,3 +299,27 @@
     CHECK_FALSE(response.get().timed_out_);
     CHECK(std::chrono::steady_clock::now() - lost_at <= service_timeout + observation_time);
 }
+
+// Guards against: a read that waited for a link to open while its process stood still was refused
+// as if no target could be reached.
+TEST_CASE("a read that waits for a link goes on after a pause of its process", "[lost-link]") {
+    fleet fleet(relayed_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = milliseconds(1000)});
+    auto earlier_read = send_in_background(order_request(fleet, "h1", "earlier", "GET"));
+    REQUIRE(wait_for([&] { return has_run(fleet, "earlier"); }));
+    cut_link(fleet);
+    fleet.relay_of("h2").set_delay(milliseconds(150));
+    auto read = send_in_background(order_request(fleet, "h1", "a", "GET"));
+    // The link is being opened.
+    std::this_thread::sleep_for(milliseconds(200));
+    fleet.host("h1").send_signal(SIGSTOP);
+    CHECK_FALSE(has_run(fleet, "a"));
+    std::this_thread::sleep_for(frozen_time);
+    fleet.relay_of("h2").set_delay(milliseconds(0));
+    fleet.host("h1").send_signal(SIGCONT);
+    const caller_response response = read.get();
+    INFO(response.outcome() << " " << response.reason());
+    CHECK(response.status_ == 200);
+    CHECK(fleet.runs_of("a") == 1);
+}
