--- a/tests/process_lost_link_test.cpp
+++ b/tests/process_lost_link_test.cpp
@@ -323,3 +323,24 @@
     CHECK(response.status_ == 200);
     CHECK(fleet.runs_of("a") == 1);
 }
+
+// Guards against: the wait for the status of a read ran out while its caller proxy stood still, and
+// the read ended before its target proxy was asked.
+TEST_CASE("a read in doubt is asked about after a pause of its caller proxy", "[lost-link]") {
+    fleet fleet(relayed_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = milliseconds(1000)});
+    auto read = send_in_background(order_request(fleet, "h1", "a", "GET"));
+    REQUIRE(wait_for([&] { return has_run(fleet, "a"); }));
+    fleet.relay_of("h2").refuse_new_links(true);
+    cut_link(fleet);
+    fleet.host("h1").send_signal(SIGSTOP);
+    std::this_thread::sleep_for(frozen_time);
+    REQUIRE(fleet.target("t1").in_flight() == 0);
+    fleet.relay_of("h2").refuse_new_links(false);
+    fleet.host("h1").send_signal(SIGCONT);
+    const caller_response response = read.get();
+    INFO(response.outcome() << " " << response.reason());
+    CHECK(response.status_ == 200);
+    CHECK(fleet.runs_of("a") == 1);
+}
