End a request at once whose target itself broke it off

process_retry_budget_test ran for more than 280 s and was ended: its targets close each second connection, and a read that had lost its run that way waited for the budget until its deadline of 20 s, one after the other. Such a target may break off the next run too, so that what waits for the budget would wait in vain. Only a lost response is waited for now; a target that breaks an attempt off ends the request at once if no retry is left, as before.

The case of process_retry_wait_test on a link that breaks failed once in six runs under load: another frame than the response cut the link, and the target proxy cancelled the run. The response's first frame is now longer than all others together.

--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -386,7 +386,8 @@
         tried_targets_.insert(target);
     }
     const bool resendable = attempt_->resendable_;
-    const policy::retry_context retry = plan_retry(outcome, target, resendable, budget_exempt);
+    policy::retry_context retry = plan_retry(outcome, target, resendable, budget_exempt);
+    retry.target_failed_ = reason == filter::reason::target_failed;
     const policy::retry_decision decision = decide(retry);
     const bool awaits_budget = decision == policy::retry_decision::await_budget;
     if (decision == policy::retry_decision::wait || (awaits_budget && attempt_->in_doubt_)) {
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -146,7 +146,8 @@
         context.time_left_ > base::duration::zero()) {
         return retry_decision::wait;
     }
-    if (possible && context.outcome_ == attempt_outcome::unknown && can_ever_retry(limits, share)) {
+    if (possible && context.outcome_ == attempt_outcome::unknown && !context.target_failed_ &&
+        can_ever_retry(limits, share)) {
         return retry_decision::await_budget;
     }
     const bool not_run =
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -68,6 +68,8 @@
     // The target that lost the response may get the request once more. Attempts count targets, so
     // this is possible also on a route that allows no further attempt.
     bool same_target_ = false;
+    // The target broke the attempt off, as it may do with the next one: the budget is not awaited.
+    bool target_failed_ = false;
     // The attempt that ended reached no target, so another one does not use the budget.
     bool budget_exempt_ = false;
     // The request was made by a running request: if it fails, that run is lost as well.
@@ -133,8 +135,8 @@
 bool may_retry_within_budget(const retry_context& context);
 
 // Returns what to do next, and charges a retry to the budget unless it is exempt. An idempotent
-// request that a retry may still serve is not ended: while its attempt most likely goes on, it
-// waits for the attempt's status, and otherwise for the budget.
+// request whose response was lost and that a retry may still serve is not ended: while its attempt
+// most likely goes on, it waits for the attempt's status, and otherwise for the budget.
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now);
 
--- a/tests/process_retry_wait_test.cpp
+++ b/tests/process_retry_wait_test.cpp
@@ -115,8 +115,10 @@
     fleet.target("t1").set({.delay_ = run});
     fleet.target("t2").set({.delay_ = run});
     // The processes learn how long runs take.
+    constexpr int read_count = 6;
     std::vector<std::future<caller_response>> reads;
-    for (int i = 0; i < 6; ++i) {
+    reads.reserve(read_count);
+    for (int i = 0; i < read_count; ++i) {
         reads.push_back(send_in_background(order_request(fleet, "h1", std::to_string(i), "GET")));
     }
     for (std::future<caller_response>& pending : reads) {
@@ -172,10 +174,13 @@
     fleet.start_all();
     caller caller;
     REQUIRE(caller.send(order_request(fleet, "h1", "warm", "GET")).status_ == 200);
-    // The first bytes on the links are those of the response, which does not pass.
+    // The frame that begins a response is far longer than all others together, and does not pass.
+    const target_behaviour long_head{.headers_ = {{"content-type", std::string(8000, 'x')}}};
+    fleet.target("t1").set(long_head);
+    fleet.target("t2").set(long_head);
     std::this_thread::sleep_for(idle_time);
-    fleet.relay_of("h2").cut_open_links_after(1);
-    fleet.relay_of("h3").cut_open_links_after(1);
+    fleet.relay_of("h2").cut_open_links_after(4000);
+    fleet.relay_of("h3").cut_open_links_after(4000);
     CHECK(caller.send(order_request(fleet, "h1", "a", "GET")).status_ == 200);
     CHECK(log_contains(fleet, "h1", R"("in_doubt":"1")"));
     CHECK_FALSE(log_contains(fleet, "h1", R"("event":"retried")"));
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -286,6 +286,10 @@
     retry_budget used_up;
     CHECK(decide_retry(used_up, slack_only, context, start) == retry_decision::retry);
     CHECK(decide_retry(used_up, slack_only, context, start) == retry_decision::await_budget);
+    // The target broke the attempt off.
+    changed = context;
+    changed.target_failed_ = true;
+    CHECK(ended(changed));
     // A target's own failure is a response, and a request that did not run may be sent again by its
     // caller.
     changed = context;
