Limit the time for the rest of a response that loses a second link

A response to a request that must not run twice, whose link was lost before its head and again after it, had neither its rest nor an end: the loss of the second link, which is reported since an awaited response puts its attempt in doubt again, was passed over for such requests also once the head had been passed on, when the request's deadline no longer applies. The time for the rest begins with that loss now. Before the head nothing changes.

--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -331,7 +331,7 @@
 }
 
 void call::on_in_doubt(link_loss loss) {
-    if (attempt_->was_in_doubt_ && !context_.idempotent_) {
+    if (attempt_->was_in_doubt_ && !context_.idempotent_ && !head_sent_) {
         // It is awaited until its deadline since the first loss.
         return;
     }
