Begin a streamed response only once a link is open

A caller got 504 for a download or a long read whose response began while no link between its two processes was open: the target proxy streamed the start of it into nothing, and told the caller proxy on the next link that the response was lost. The response is now held at the size up to which it is collected, unread beyond that, until the caller proxy asks for the attempt; its time is bounded by the deadline as before.

--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -341,6 +341,7 @@
             send_to_caller_proxy(*running->second,
                                  make_failure(key.attempt_, wire::failure_reason::answer_lost));
         }
+        running->second->on_later_link();
         return;
     }
     target_proxy_attempt* ended = responses_.find(key);
@@ -397,12 +398,16 @@
     }
 }
 
+bool target_proxy::has_link(const target_proxy_attempt& attempt) {
+    return find_link(own_link(attempt.key())) != nullptr;
+}
+
 bool target_proxy::send_to_caller_proxy(const target_proxy_attempt& attempt,
                                         const wire::frame& frame) {
     if (attempt.response_discarded()) {
         return false;
     }
-    connection* link = find_link({attempt.key().caller_proxy_boot_, attempt.key().attempt_.link_});
+    connection* link = find_link(own_link(attempt.key()));
     if (link == nullptr) {
         replies_lost_at_[attempt.key().caller_proxy_boot_] = loop_.clock().now();
         return false;
--- a/src/node/target_proxy.h
+++ b/src/node/target_proxy.h
@@ -96,6 +96,7 @@
 
     bool send_to_caller_proxy(const target_proxy_attempt& attempt,
                               const wire::frame& frame) override;
+    bool has_link(const target_proxy_attempt& attempt) override;
     void on_target_response(const target_proxy_attempt& attempt,
                             const net::http_response& response) override;
     void on_run_ended(target_proxy_attempt& attempt, attempt_result result) override;
--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -283,7 +283,13 @@
     continue_response();
 }
 
+// Without a link, what is streamed would be lost.
 void target_proxy_attempt::stream_or_end() {
+    if (may_stream() && !response_discarded_ && !owner_.has_link(*this)) {
+        awaits_link_ = true;
+        request_->pause_response();
+        return;
+    }
     if (may_stream()) {
         begin_streaming();
         return;
@@ -295,6 +301,12 @@
     end(attempt_result::invalid_response);
 }
 
+void target_proxy_attempt::on_later_link() {
+    if (std::exchange(awaits_link_, false) && running()) {
+        begin_streaming();
+    }
+}
+
 void target_proxy_attempt::on_response_body(std::string_view bytes) {
     response_.body_ += bytes;
     if (response_.streaming_) {
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -55,6 +55,9 @@
     virtual bool send_to_caller_proxy(const target_proxy_attempt& attempt,
                                       const wire::frame& frame) = 0;
 
+    // Returns true if a link is open on which the attempt's caller proxy expects its response.
+    virtual bool has_link(const target_proxy_attempt& attempt) = 0;
+
     // Called when the head of the target's response has arrived.
     virtual void on_target_response(const target_proxy_attempt& attempt,
                                     const net::http_response& response) = 0;
@@ -127,6 +130,9 @@
     void on_request_body(const wire::body_part& part);
     void on_credit(std::int32_t bytes);
 
+    // Called when the caller proxy has asked for the attempt on a later link.
+    void on_later_link();
+
     // Sends the response again, at once and whole. Returns false if the complete response is not
     // available.
     bool resend_response();
@@ -221,6 +227,8 @@
     // Bytes of `response_.body_` that were sent, from its beginning.
     std::size_t sent_bytes_ = 0;
     bool last_part_sent_ = false;
+    // The response is to be streamed, but no link is open: it is not read on until then.
+    bool awaits_link_ = false;
     std::uint64_t queue_id_ = 0;
     // Address of the target, as text; the key of its state in the target proxy.
     std::string target_key_;
--- a/tests/process_lost_link_test.cpp
+++ b/tests/process_lost_link_test.cpp
@@ -121,6 +121,27 @@
     CHECK(fleet.runs_of("a") == 1);
 }
 
+// Guards against: the start of a long response was sent on no link, and the caller got 504.
+TEST_CASE("a long response that begins while no link is open is passed on", "[lost-link]") {
+    constexpr std::uint64_t size = 3'000'000;
+    fleet fleet(relayed_plan());
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = milliseconds(800)});
+    const std::string method = GENERATE("GET", "POST");
+    caller_request request = order_request(fleet, "h1", "a", method);
+    request.url_ += "?bytes=" + std::to_string(size);
+    auto response = send_in_background(request);
+    REQUIRE(wait_for([&] { return has_run(fleet, "a"); }));
+    fleet.relay_of("h2").refuse_new_links(true);
+    cut_link(fleet);
+    std::this_thread::sleep_until(fleet.target("t1").run_times().front() + milliseconds(1000));
+    fleet.relay_of("h2").refuse_new_links(false);
+    const caller_response received = response.get();
+    CHECK(received.status_ == 200);
+    CHECK(received.body_bytes_ == size);
+    CHECK(fleet.runs_of("a") == 1);
+}
+
 // Guards against: the run of a read was cancelled because its caller proxy had stood still for a
 // while and ended its links when it woke.
 TEST_CASE("a read whose caller proxy stands still is answered by its run", "[lost-link]") {
--- a/tests/target_proxy_attempt_test.cpp
+++ b/tests/target_proxy_attempt_test.cpp
@@ -143,6 +143,7 @@
         frames_.push_back(frame);
         return true;
     }
+    bool has_link(const node::target_proxy_attempt& /*attempt*/) override { return linked_; }
     void on_target_response(const node::target_proxy_attempt& /*attempt*/,
                             const net::http_response& /*response*/) override {}
     void on_run_ended(node::target_proxy_attempt& /*attempt*/,
@@ -171,6 +172,7 @@
     }
 
     std::vector<wire::frame> frames_;
+    bool linked_ = true;
     // The whole response of the last run was sent.
     bool sent_ = false;
     bool memory_short_ = false;
@@ -344,3 +346,28 @@
     CHECK(side.owner_.result_ == node::attempt_result::responded);
     CHECK(side.owner_.body() == std::string(size, 'x'));
 }
+
+// Guards against: the start of a streamed response was sent while no link was open, and lost.
+TEST_CASE("a response that is to be streamed waits for a link", "[node]") {
+    const std::size_t size = 2 * node::max_collected_response_bytes;
+    resetting_target target("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(size) +
+                            "\r\n\r\n" + std::string(size, 'x'));
+    target_side side(target.address());
+    side.owner_.linked_ = false;
+    node::target_proxy_attempt attempt(*side.loop_, side.owner_, side.headers_, side.memory_, {},
+                                       make_begin("GET"));
+    attempt.run(side.pool_, base::seconds(60));
+    while (attempt.response().body_.size() <= node::max_collected_response_bytes) {
+        side.loop_->run_once();
+    }
+    CHECK(side.owner_.frames_.empty());
+    CHECK_FALSE(attempt.response().streaming_);
+    side.owner_.linked_ = true;
+    attempt.on_later_link();
+    CHECK(attempt.response().streaming_);
+    attempt.on_credit(static_cast<std::int32_t>(size));
+    side.wait_for_end();
+    CHECK(side.owner_.sent_);
+    CHECK(side.owner_.result_ == node::attempt_result::responded);
+    CHECK(side.owner_.body().size() == size);
+}
