Test targets on trial also while the retry budget is spent

Where many hosts were lost, requests were refused or failed while targets that had recovered stood idle for seconds. Only idempotent requests with a retry left may test a target on trial.

A target on trial that has been idle long enough to ask for a probe now gets an idempotent request without a retry left too, if it is the request's first attempt. Such a request may fail for good, which its caller sees as the target's own failure; as few are sent as there are targets on trial.

--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -50,7 +50,8 @@
 policy::choice_criteria call::criteria() const {
     const bool found_busy = !may_wait_ && !busy_targets_.empty();
     return {context_.idempotent_, retry_available(), context_.route_->download_,
-            run_kind(),           found_busy,        owner_.dependencies_.settings_.min_share_};
+            run_kind(),           found_busy,        owner_.dependencies_.settings_.min_share_,
+            attempts_ == 0};
 }
 
 // Returns true if the next attempt is the first, the request is idempotent, and the retry budget
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -82,8 +82,17 @@
     return criteria.idempotent_ && criteria.can_retry_;
 }
 
+// Returns true if the request may test that target. A target on trial that has been idle for long
+// enough to ask for a probe is tested also without a retry left: otherwise none would recover while
+// the retry budget is spent, which is when they are needed most.
+bool may_test(const candidate& target, const choice_criteria& criteria) {
+    const bool overdue_trial = target.on_trial_ && target.needs_probe_;
+    return may_probe(criteria) ||
+           (overdue_trial && criteria.idempotent_ && criteria.first_attempt_);
+}
+
 bool is_out_of_rotation(const candidate& target, const choice_criteria& criteria) {
-    return target.ejected_ || (target.on_trial_ && !may_probe(criteria));
+    return target.ejected_ || (target.on_trial_ && !may_test(target, criteria));
 }
 
 // Returns the factor on the expected delay that accounts for a likely failure.
@@ -193,7 +202,8 @@
     const bool out_of_rotation = is_out_of_rotation(target, search.criteria_);
     const double random_fraction = static_cast<double>(base::random_below(random, 1000)) / 1000;
     double factor = 1 + jitter_width * random_fraction;
-    const bool trial = !out_of_rotation && may_probe(search.criteria_) && needs_trial(target);
+    const bool trial =
+        !out_of_rotation && may_test(target, search.criteria_) && needs_trial(target);
     factor *= trial ? trial_factor : suspicion_factor(target, search.criteria_);
     if (out_of_rotation) {
         factor *= out_of_rotation_factor;
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -71,6 +71,8 @@
     bool found_busy_ = false;
     // Share of the targets that always stays in use, even if some of them are ejected.
     double min_share_ = 0;
+    // No attempt of the request has reached a target yet.
+    bool first_attempt_ = false;
 };
 
 struct target_choice {
