Do not eject targets for runs that span a pause of their process

A host that stood still ejected its own target when it woke, although nothing was wrong with it: its runs in progress seemed to have taken the whole pause. Each such target got nothing for over a second, right after a freeze, when requests come back to it.

A run that began before a pause of the process no longer counts as overdue, and its duration enters neither the estimates nor the report, where it made the target look slow. The response of such a run still counts.

The new process test failed before (the log of the host that woke had target_ejected).

--- a/src/node/target_proxy_attempt.cpp
+++ b/src/node/target_proxy_attempt.cpp
@@ -108,6 +108,7 @@
 void target_proxy_attempt::run(net::http_client_pool& pool, base::duration max_idle_time) {
     pool_ = &pool;
     run_started_at_ = loop_.clock().now();
+    pauses_at_start_ = loop_.pause_count();
     start_timeout(deadline_ - run_started_at_ + response_margin);
     start(pool, max_idle_time);
 }
--- a/src/node/target_proxy_attempt.h
+++ b/src/node/target_proxy_attempt.h
@@ -161,6 +161,10 @@
     bool expired() const;
     base::instant deadline() const { return deadline_; }
     base::instant run_started_at() const { return run_started_at_; }
+
+    // Returns true if this process was paused since the run began, so that the time since then says
+    // nothing about the target.
+    bool spans_pause() const { return loop_.pause_count() != pauses_at_start_; }
     std::uint64_t queue_id() const { return queue_id_; }
     void set_queue_id(std::uint64_t id) { queue_id_ = id; }
     const std::string& target_key() const { return target_key_; }
@@ -210,6 +214,7 @@
     wire::attempt_begin begin_;
     base::instant deadline_;
     base::instant run_started_at_{};
+    std::uint64_t pauses_at_start_ = 0;
     // Expires at the latest start while the attempt waits, and shortly after the deadline while it
     // runs. Once the response is sent, expires when it makes no progress.
     net::timer timeout_timer_;
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -57,13 +57,15 @@
     return target;
 }
 
-// Returns true if a run has taken more than `factor` times the expected duration, and no call that
-// its target made has failed since it began: such a call may be the cause.
+// Returns true if a run has taken more than `factor` times the expected duration, this process was
+// not paused meanwhile, and no call that its target made has failed since it began: such a call may
+// be the cause.
 bool target_proxy::is_overdue(const target_state& target, const target_proxy_attempt& attempt,
                               int factor) const {
     const base::duration expected = policy::expected_run_duration(
         target.run_estimates_, kind_of(attempt.begin()), default_run_duration);
-    return loop_.clock().now() - attempt.run_started_at() > factor * expected &&
+    return !attempt.spans_pause() &&
+           loop_.clock().now() - attempt.run_started_at() > factor * expected &&
            last_failed_call_at_ < attempt.run_started_at();
 }
 
@@ -129,7 +131,7 @@
     const auto failure = failure_of(attempt, result);
     const bool succeeded = result == attempt_result::responded &&
                            attempt.response().head_.status < min_server_error_status;
-    if (succeeded) {
+    if (succeeded && !attempt.spans_pause()) {
         policy::record_run(target.run_estimates_, kind_of(attempt.begin()),
                            loop_.clock().now() - attempt.run_started_at());
     }
@@ -169,7 +171,7 @@
     const base::instant now = loop_.clock().now();
     std::vector<base::duration> ages;
     for (const auto& [key, attempt] : attempts_) {
-        if (attempt->running()) {
+        if (attempt->running() && !attempt->spans_pause()) {
             ages.push_back(now - attempt->run_started_at());
         }
     }
--- a/tests/process_pause_test.cpp
+++ b/tests/process_pause_test.cpp
@@ -93,3 +93,25 @@
     request.get();
     CHECK(fleet.runs_of("a") <= 1);
 }
+
+// Guards against: a process that stood still ejected its own targets when it woke, because their
+// runs seemed to have taken too long.
+TEST_CASE("a host that wakes does not eject its targets for runs of before", "[pause]") {
+    fleet fleet(plan_without_retries());
+    fleet.start_all();
+    caller caller;
+    fleet.target("t1").set({.delay_ = std::chrono::milliseconds(300)});
+    for (int i = 0; i < 5; ++i) {
+        CHECK(caller.send(order_request(fleet, "h1", "r" + std::to_string(i), "GET")).status_ ==
+              200);
+    }
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(1)});
+    auto request = send_in_background(order_request(fleet, "h1", "a", "POST"));
+    REQUIRE(wait_for([&] { return fleet.runs_of("a") == 1; }));
+    fleet.host("h2").send_signal(SIGSTOP);
+    std::this_thread::sleep_for(frozen_time);
+    fleet.host("h2").send_signal(SIGCONT);
+    request.get();
+    REQUIRE(wait_for([&] { return fleet.has_links_to_all("h1"); }));
+    CHECK_FALSE(log_contains(fleet, "h2", "target_ejected"));
+}
