Begin as a takeover what a host was never asked about

What callers could see: an organisation beyond its rate and burst, after its owner froze or was lost.

Cause: a host that was asked for an organisation's tokens for the first time counted as its owner since its own start, whatever its rank: no handover delay, and all the tokens that it would have saved up as the owner. Since a host that leaves one question unanswered counts as silent for all organisations, the next in rank began so for each of them at once, while the first one might still grant.

Now only the first in rank counts as acting before it is asked, and that since its start or since the hosts changed last; any other host takes over as usual.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -52,6 +52,7 @@
       host_(std::move(host)),
       tolerance_(tolerance),
       started_at_(clock.now()),
+      hosts_changed_at_(started_at_),
       last_tick_at_(started_at_) {}
 
 policy::quota_limit fleet_quota::limit_of(const std::string& organisation) const {
@@ -99,12 +100,19 @@
 }
 
 void fleet_quota::on_hosts_changed() {
-    hosts_.clear();
+    std::vector<std::string> hosts;
     for (const config::host_entry& host : configuration_.hosts()->hosts_) {
         if (!host.leaving_) {
-            hosts_.push_back(host.name_);
+            hosts.push_back(host.name_);
         }
     }
+    if (hosts == hosts_) {
+        return;
+    }
+    if (!hosts_.empty()) {
+        hosts_changed_at_ = clock_.now();
+    }
+    hosts_ = std::move(hosts);
     ranked_owners_.clear();
 }
 
@@ -349,23 +357,33 @@
     return true;
 }
 
+// Returns this host's state as an owner of the organisation's tokens. Only the first in rank acts
+// before it is asked; another host takes over.
+policy::quota_owner& fleet_quota::find_or_add_owner(const std::string& organisation,
+                                                    const policy::quota_limit& limit) {
+    const auto found = owned_.find(organisation);
+    if (found != owned_.end()) {
+        return found->second;
+    }
+    const std::vector<std::string>& owners = ranked_owners(organisation);
+    const bool first = !owners.empty() && owners.front() == host_;
+    return owned_
+        .emplace(organisation,
+                 first ? policy::make_owner(limit, hosts_changed_at_) : policy::quota_owner{})
+        .first->second;
+}
+
+    const policy::quota_limit limit = limit_of(request.organisation);
+    if (limit.rate_ <= 0) {
+        return reply;
+    }
+    policy::quota_owner& owner = find_or_add_owner(request.organisation, limit);
 wire::lease_grant fleet_quota::grant(const wire::lease_request& request,
                                      const std::string& requester) {
     wire::lease_grant reply;
     reply.request = request.request;
     reply.organisation = request.organisation;
-    const policy::quota_limit limit = limit_of(request.organisation);
-    if (limit.rate_ <= 0) {
-        return reply;
-    }
-    ranked_owners(request.organisation);
-    const auto found = owned_.find(request.organisation);
-    policy::quota_owner& owner =
-        found != owned_.end()
-            ? found->second
-            : owned_.emplace(request.organisation, policy::make_owner(limit, started_at_))
-                  .first->second;
-    const bool was_acting = found != owned_.end() && owner.acting_;
+    const bool was_acting = owner.acting_;
     const policy::quota_grant granted =
         policy::grant_tokens(owner, limit, reachability_for(request.organisation), request.tokens,
                              clock_.now(), requester);
--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -102,6 +102,8 @@
     };
 
     wire::lease_grant grant(const wire::lease_request& request, const std::string& requester);
+    policy::quota_owner& find_or_add_owner(const std::string& organisation,
+                                           const policy::quota_limit& limit);
     bool relay(const wire::lease_request& request, const std::string& requester);
     bool relay_grant(const wire::lease_grant& grant);
     void answer_overdue_relays();
@@ -135,6 +137,9 @@
     // Time of construction. An owner whose tokens are requested for the first time counts as acting
     // since then.
     base::instant started_at_;
+    // Start of this process, or the last change of the hosts: since then it may be the first in
+    // rank.
+    base::instant hosts_changed_at_;
     base::instant last_tick_at_;
     std::unordered_map<std::string, organisation_state> states_;
     // Organisation of each pending token request, by request id.
