Send probes only after the silent hosts are listed

Sending may find that this process stood still, which clears the list of silent hosts while it is being read. Found in review, by reading; it needs a freeze within the loop, so there is no test of it. The list of probes is made first, then they are sent.

--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -193,12 +193,17 @@
         return now - entry.second.asked_at_ > question_expiry;
     });
     std::erase_if(unresponsive_, [&](const auto& entry) { return !peers_.reachable(entry.first); });
+    // Sending may find a stall, which clears the unresponsive hosts.
+    std::vector<std::pair<std::string, std::string>> probes;
     for (auto& [host, state] : unresponsive_) {
         if (now - state.probed_at_ >= probe_interval) {
             state.probed_at_ = now;
-            probe(host, state.organisation_);
+            probes.emplace_back(host, state.organisation_);
         }
     }
+    for (const auto& [host, organisation] : probes) {
+        probe(host, organisation);
+    }
 }
 
 // Replies to the requests that were passed on to a host that does not respond.
