--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -378,16 +378,16 @@
         .first->second;
 }
 
-    const policy::quota_limit limit = limit_of(request.organisation);
-    if (limit.rate_ <= 0) {
-        return reply;
-    }
-    policy::quota_owner& owner = find_or_add_owner(request.organisation, limit);
 wire::lease_grant fleet_quota::grant(const wire::lease_request& request,
                                      const std::string& requester) {
     wire::lease_grant reply;
     reply.request = request.request;
     reply.organisation = request.organisation;
+    const policy::quota_limit limit = limit_of(request.organisation);
+    if (limit.rate_ <= 0) {
+        return reply;
+    }
+    policy::quota_owner& owner = find_or_add_owner(request.organisation, limit);
     const bool was_acting = owner.acting_;
     const policy::quota_grant granted =
         policy::grant_tokens(owner, limit, reachability_for(request.organisation), request.tokens,
@@ -491,7 +491,9 @@
     }
     refusal.owner_rank_ = state.owner_rank_;
     refusal.cause_ = cause;
-    refusal.reachability_ = reachability_for(organisation);
+    if (cause != quota_refusal_cause::owner_limit && observer_->takes_events()) {
+        refusal.reachability_ = reachability_for(organisation);
+    }
     refusal.waiting_ = waiting;
     refusal.retry_after_ = retry_after;
     refusal.waited_ = clock_.now() - refused.queued_at_;
--- a/src/control/quota_events.h
+++ b/src/control/quota_events.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "base/clock.h"
@@ -33,8 +34,8 @@
     std::string_view owner_;
     std::size_t owner_rank_ = 0;
     quota_refusal_cause cause_ = quota_refusal_cause::owner_limit;
-    // The hosts that this host reaches.
-    policy::host_reachability reachability_{};
+    // The hosts that this host reaches; not set if an owner decided or the event is not recorded.
+    std::optional<policy::host_reachability> reachability_;
     // Tokens that waiting requests lack, including this one.
     std::size_t waiting_ = 0;
     base::duration retry_after_{};
@@ -55,6 +56,8 @@
 public:
     virtual ~quota_observer() = default;
 
+    // Returns false if further events are only counted for now.
+    virtual bool takes_events() const = 0;
     virtual void on_refusal(const quota_refusal& refusal) = 0;
     virtual void on_owner_change(const quota_owner_change& change) = 0;
 };
--- a/src/node/quota_log.cpp
+++ b/src/node/quota_log.cpp
@@ -18,6 +18,11 @@
 quota_log::quota_log(const base::runtime_clock& clock, observe::event_log& events)
     : clock_(clock), events_(events) {}
 
+bool quota_log::takes_events() const {
+    return recorded_in_second_ < max_quota_events_per_second ||
+           clock_.now() - second_began_at_ >= base::seconds(1);
+}
+
 void quota_log::on_refusal(const control::quota_refusal& refusal) {
     std::vector<observe::event_field> fields = {
         {"organisation", std::string(refusal.organisation_)},
@@ -28,7 +33,9 @@
         {"waited_ms", std::to_string(base::whole_ms(refusal.waited_))},
         {"retry_after_ms", std::to_string(base::whole_ms(refusal.retry_after_))},
     };
-    add_reachability(fields, refusal.reachability_);
+    if (refusal.reachability_) {
+        add_reachability(fields, *refusal.reachability_);
+    }
     record("quota_refused", std::move(fields));
 }
 
--- a/src/node/quota_log.h
+++ b/src/node/quota_log.h
@@ -16,6 +16,7 @@
 public:
     quota_log(const base::runtime_clock& clock, observe::event_log& events);
 
+    bool takes_events() const override;
     void on_refusal(const control::quota_refusal& refusal) override;
     void on_owner_change(const control::quota_owner_change& change) override;
 
