Forget requesters whose tokens were granted

An owner remembered for each requester of each organisation what it lacked last, and never forgot one. An entry without missing tokens says nothing, so it is removed. Found in review; quota_fuzz_test and fleet_quota_test pass.

--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -180,7 +180,11 @@
         std::max<std::int64_t>(0, window_limit - owner.tokens_in_window_);
     grant.granting_ = true;
     grant.tokens_ = take(owner.bucket_, std::min(wanted, left_in_window), now);
-    owner.unmet_requests_[requester].tokens_ -= grant.tokens_;
+    unmet_request& unmet = owner.unmet_requests_[requester];
+    unmet.tokens_ -= grant.tokens_;
+    if (unmet.tokens_ <= 0) {
+        owner.unmet_requests_.erase(requester);
+    }
     if (grant.tokens_ > 0) {
         owner.recent_grants_.push_back({now, grant.tokens_});
         owner.tokens_in_window_ += grant.tokens_;
