Do not blame a peer or give up a read for a pause of this process

What callers saw: a host that stood still while it opened a link answered 503 no_target at its wake, although the only target was sound; and a read whose link had been lost before the freeze got 504 at the wake, although its run had ended and its response was kept, as nobody had asked for it.

Cause: timers that ran out during the pause acted before the pause was found: the timeout of connecting and the pings blamed the peer, and the wait for the status of an attempt in doubt was over.

Now both timers of a link ask first whether its socket is of before a pause. Attempts that were not written yet are outdated then, as they carry the time that was left, so their calls start them anew. The wait for a status begins again after a pause.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -48,6 +48,7 @@
     void on_refused(const wire::attempt_refused& refusal) override;
     void on_failed(const wire::attempt_failed& failure) override;
     void on_not_run() override;
+    void on_not_sent() override;
     void on_in_doubt(link_loss loss) override;
     void on_response_expected() override;
     void on_unknown() override;
@@ -68,6 +69,8 @@
         // Time by which the target proxy will most likely have reported the attempt's status, if
         // its link was lost but the target proxy most likely lives.
         base::instant status_due_at_{};
+        // Pauses of this process found before the link was lost.
+        std::uint64_t pauses_before_loss_ = 0;
         // The link was lost at least once.
         bool was_in_doubt_ = false;
         // The link is lost and the attempt's status is not known yet.
@@ -124,6 +127,7 @@
                                      bool resendable, bool budget_exempt);
     policy::retry_decision decide(const policy::retry_context& retry);
     void start_retry(const std::string& target, const policy::retry_context& retry);
+    void start_status_wait(link_loss loss);
     void await_resolution();
     void await_budget(base::duration run_duration);
     bool budget_is_missing() const;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -325,6 +325,11 @@
     attempt_ended(policy::attempt_outcome::not_run, filter::reason::no_target, true);
 }
 
+void call::on_not_sent() {
+    abandon_attempt();
+    start_attempt();
+}
+
 void call::on_unknown() {
     attempt_->in_doubt_ = false;
     attempt_->resendable_ = true;
@@ -339,10 +344,7 @@
     attempt_->was_in_doubt_ = true;
     attempt_->in_doubt_ = true;
     if (!head_sent_) {
-        const base::instant now = owner_.dependencies_.loop_.clock().now();
-        attempt_->resolve_by_ = now + policy::resolution_wait(context_.idempotent_, time_left());
-        attempt_->status_due_at_ =
-            loss == link_loss::closed ? now + policy::usual_status_delay : now;
+        start_status_wait(loss);
         attempt_ended(policy::attempt_outcome::in_doubt, filter::reason::response_lost);
         return;
     }
@@ -511,6 +513,15 @@
     resolution_timer_.start(policy::next_decision_after(context_.idempotent_, wait_left),
                             [this] { on_decision_due(); });
 }
+// Sets until when the status of the attempt in doubt is awaited.
+void call::start_status_wait(link_loss loss) {
+    net::event_loop& loop = owner_.dependencies_.loop_;
+    const base::instant now = loop.clock().now();
+    attempt_->pauses_before_loss_ = loop.pause_count();
+    attempt_->resolve_by_ = now + policy::resolution_wait(context_.idempotent_, time_left());
+    attempt_->status_due_at_ = loss == link_loss::closed ? now + policy::usual_status_delay : now;
+}
+
 
 // Decides again on the attempt in doubt. After the whole wait its status counts as unknown, but its
 // response is still accepted while the request waits for the budget.
@@ -527,6 +538,12 @@
     attempt_->resendable_ = wait_over;
     attempt_ended(wait_over ? policy::attempt_outcome::unknown : policy::attempt_outcome::in_doubt,
                   filter::reason::response_lost);
+    if (owner_.dependencies_.loop_.pause_count() != attempt_->pauses_before_loss_) {
+        // Nobody could be asked during the pause.
+        start_status_wait(link_loss::closed);
+        await_resolution();
+        return;
+    }
 }
 
 // Returns what the decision on another attempt depends on, except for the target that would get it.
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -155,7 +155,9 @@
     policy::allocate_link_number(sent_attempts_);
     socket_ = net::frame_socket::connect(loop_, address_, *this, traffic_);
     connect_timer_.start(connect_timeout, [this] {
-        handle_link_lost("no welcome frame within the connect timeout");
+        const bool paused = socket_->is_outdated();
+        handle_link_lost(paused ? net::closed_by_pause
+                                : "no welcome frame within the connect timeout");
     });
 }
 
@@ -199,7 +201,7 @@
             event_log_.record(loop_.clock().wall_ms(), "link_failed",
                               {{"peer", peer_}, {"cause", std::string(cause)}});
         }
-        fail_pending();
+        end_pending(cause == net::closed_by_pause);
     }
     const link_loss loss = cause == peer_silent ? link_loss::silent : link_loss::closed;
     for (const policy::attempt_id attempt : in_doubt) {
@@ -232,12 +234,17 @@
     }
 }
 
-// Ends the attempts that were never written to a link: they did not run.
-void peer_link::fail_pending() {
-    const std::deque<pending_attempt> failed = std::exchange(pending_, {});
+// Ends the attempts that were never written to a link: they did not run. After a pause of this
+// process they are outdated, but the peer may get them anew.
+void peer_link::end_pending(bool paused) {
+    const std::deque<pending_attempt> ended = std::exchange(pending_, {});
     pending_control_.clear();
-    for (const pending_attempt& pending : failed) {
-        pending.events_->on_not_run();
+    for (const pending_attempt& pending : ended) {
+        if (paused) {
+            pending.events_->on_not_sent();
+        } else {
+            pending.events_->on_not_run();
+        }
     }
 }
 
@@ -375,6 +382,10 @@
 }
 
 void peer_link::on_ping_due() {
+    if (socket_->is_outdated()) {
+        handle_link_lost(net::closed_by_pause);
+        return;
+    }
     const std::uint64_t received_bytes = socket_->bytes_received();
     policy::record_received(liveness_, received_bytes);
     if (policy::is_silent(liveness_)) {
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -49,6 +49,8 @@
     // The attempt was never written, or the target proxy has barred it: it did not run and never
     // will.
     virtual void on_not_run() = 0;
+    // The attempt was not written before this process was paused. The target may get it anew.
+    virtual void on_not_sent() = 0;
     // The link was lost; the status of the attempt will be queried from the target proxy.
     virtual void on_in_doubt(link_loss loss) = 0;
     // The target proxy reported that the attempt runs or has ended: what follows of it comes on the
@@ -167,7 +169,7 @@
     void connect();
     void handle_link_lost(std::string_view cause);
     void end_outdated_link();
-    void fail_pending();
+    void end_pending(bool paused);
     void write(pending_attempt pending);
     void on_welcome(const wire::welcome& welcome);
     void on_resolution(const wire::resolution& resolution);
