Let no more requests wait for the retry budget than it can serve

What can't be served must be rejected at once, so that its caller can act.

A request now waits only if the budget will allow a retry in its time after those that wait already: what the budget allows now and the retries that leave its window until then. One may wait for what further requests add. A waiter whose attempt gets its response after all makes room.

Order among those that wait is still by their timers, not by their deadlines.

--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -79,6 +79,7 @@
         owner_.dependencies_.on_nested_call_failed_();
     }
     owner_.dependencies_.quota_.cancel(*this);
+    stop_awaiting_budget();
     abandon_attempt();
 }
 
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -130,6 +130,7 @@
     void start_status_wait(link_loss loss);
     void await_resolution();
     void await_budget(base::duration run_duration);
+    void stop_awaiting_budget();
     bool budget_is_missing() const;
     void on_budget_due();
     void on_decision_due();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -437,7 +437,7 @@
 }
 
 policy::retry_decision call::decide(const policy::retry_context& retry) {
-    awaited_run_duration_.reset();
+    stop_awaiting_budget();
     const auto decision = owner_.decide_retry(context_.service_->name_, retry);
     // A target's failure that is held is a response already: the budget is not awaited.
     return decision == policy::retry_decision::await_budget && held_failure_
@@ -463,6 +463,7 @@
     if (!awaited_run_duration_) {
         record_event("budget_awaited", attempt_ ? attempt_->target_ : awaited_retry_->target_,
                      time_left());
+        ++owner_.budget_waiters_[context_.service_->name_];
     }
     awaited_run_duration_ = run_duration;
     resolution_timer_.start(policy::decision_interval, [this] {
@@ -474,6 +475,13 @@
     });
 }
 
+void call::stop_awaiting_budget() {
+    if (awaited_run_duration_) {
+        --owner_.budget_waiters_[context_.service_->name_];
+        awaited_run_duration_.reset();
+    }
+}
+
 // Returns true if the request waits for the budget and must go on waiting: another attempt could
 // still end in time.
 bool call::budget_is_missing() const {
@@ -505,14 +513,6 @@
     }
 }
 
-// Waits until the next decision on the attempt in doubt. Its status is requested from the target
-// proxy, which may not reply.
-void call::await_resolution() {
-    const base::duration wait_left =
-        attempt_->resolve_by_ - owner_.dependencies_.loop_.clock().now();
-    resolution_timer_.start(policy::next_decision_after(context_.idempotent_, wait_left),
-                            [this] { on_decision_due(); });
-}
 // Sets until when the status of the attempt in doubt is awaited.
 void call::start_status_wait(link_loss loss) {
     net::event_loop& loop = owner_.dependencies_.loop_;
@@ -522,6 +522,14 @@
     attempt_->status_due_at_ = loss == link_loss::closed ? now + policy::usual_status_delay : now;
 }
 
+// Waits until the next decision on the attempt in doubt. Its status is requested from the target
+// proxy, which may not reply.
+void call::await_resolution() {
+    const base::duration wait_left =
+        attempt_->resolve_by_ - owner_.dependencies_.loop_.clock().now();
+    resolution_timer_.start(policy::next_decision_after(context_.idempotent_, wait_left),
+                            [this] { on_decision_due(); });
+}
 
 // Decides again on the attempt in doubt. After the whole wait its status counts as unknown, but its
 // response is still accepted while the request waits for the budget.
@@ -530,6 +538,12 @@
         on_deadline();
         return;
     }
+    if (owner_.dependencies_.loop_.pause_count() != attempt_->pauses_before_loss_) {
+        // Nobody could be asked during the pause.
+        start_status_wait(link_loss::closed);
+        await_resolution();
+        return;
+    }
     const bool wait_over = owner_.dependencies_.loop_.clock().now() >= attempt_->resolve_by_;
     if (wait_over && budget_is_missing()) {
         await_budget(*awaited_run_duration_);
@@ -538,12 +552,6 @@
     attempt_->resendable_ = wait_over;
     attempt_ended(wait_over ? policy::attempt_outcome::unknown : policy::attempt_outcome::in_doubt,
                   filter::reason::response_lost);
-    if (owner_.dependencies_.loop_.pause_count() != attempt_->pauses_before_loss_) {
-        // Nobody could be asked during the pause.
-        start_status_wait(link_loss::closed);
-        await_resolution();
-        return;
-    }
 }
 
 // Returns what the decision on another attempt depends on, except for the target that would get it.
@@ -556,6 +564,7 @@
     retry.max_attempts_ = context_.route_->attempts_;
     retry.may_have_run_before_ = may_have_run_;
     retry.nested_ = nested_;
+    retry.budget_waiters_ = owner_.budget_waiters_[context_.service_->name_];
     retry.time_left_ = time_left();
     retry.reserved_time_ = time_left() - run_time_left();
     retry.min_time_left_ = min_time_left();
--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -34,6 +34,7 @@
 
 void call::on_response_head(const wire::answer_head& head) {
     resolution_timer_.cancel();
+    stop_awaiting_budget();
     attempt_->in_doubt_ = false;
     if (head.__isset.report) {
         owner_.record_report(head.report);
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -187,6 +187,8 @@
     policy::departures departures_;
     // Keyed by service name.
     std::unordered_map<std::string, policy::retry_budget> retry_budgets_;
+    // Number of requests that wait for the retry budget, keyed by service name.
+    std::unordered_map<std::string, std::size_t> budget_waiters_;
     // All calls that exist; each adds and removes itself.
     std::set<call*> calls_;
     // Hosts that announced that they stop; this host itself while it stops.
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -116,6 +116,18 @@
     return retries + 1 <= share * (limits.ratio_ * requests + limits.slack_);
 }
 
+double retries_allowed_within(const retry_budget& budget, const retry_limits& limits, double share,
+                              base::duration time, base::instant now) {
+    double requests = 0;
+    double retries_left = 0;
+    for (const retry_budget::interval& interval : budget.intervals_) {
+        const base::duration age = now - interval.started_at_;
+        requests += age < limits.window_ ? interval.requests_ : 0;
+        retries_left += age + time < limits.window_ ? interval.retries_ : 0;
+    }
+    return std::max(0.0, share * (limits.ratio_ * requests + limits.slack_) - retries_left);
+}
+
 bool claim_retry(retry_budget& budget, const retry_limits& limits, double share,
                  base::instant now) {
     if (!has_budget(budget, limits, share, now)) {
@@ -129,6 +141,19 @@
     return retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
 }
 
+// Returns true if the budget will most likely allow a retry while it can still end in time, after
+// those of the requests that wait already. One request may wait for what further requests add.
+bool budget_will_suffice(const retry_budget& budget, const retry_limits& limits,
+                         const retry_context& context, base::instant now) {
+    const double share = usable_budget_share(context.nested_);
+    if (!can_ever_retry(limits, share)) {
+        return false;
+    }
+    const base::duration wait = context.time_left_ - context.reserved_time_ - context.run_duration_;
+    const double allowed = retries_allowed_within(budget, limits, share, wait, now);
+    return static_cast<double>(context.budget_waiters_) + 1 <= std::max(1.0, allowed);
+}
+
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
                             const retry_context& context, base::instant now) {
     const double share = usable_budget_share(context.nested_);
@@ -147,7 +172,7 @@
         return retry_decision::wait;
     }
     if (possible && context.outcome_ == attempt_outcome::unknown && !context.target_failed_ &&
-        can_ever_retry(limits, share)) {
+        budget_will_suffice(budget, limits, context, now)) {
         return retry_decision::await_budget;
     }
     const bool not_run =
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -1,6 +1,7 @@
 // Decides what a caller proxy does when an attempt has ended without a response to pass on.
 #pragma once
 
+#include <cstddef>
 #include <deque>
 
 #include "base/clock.h"
@@ -72,6 +73,8 @@
     bool target_failed_ = false;
     // The attempt that ended reached no target, so another one does not use the budget.
     bool budget_exempt_ = false;
+    // Other requests that wait for the budget.
+    std::size_t budget_waiters_ = 0;
     // The request was made by a running request: if it fails, that run is lost as well.
     bool nested_ = false;
     // Time until the request's deadline, and the minimum that another attempt needs.
@@ -124,6 +127,11 @@
 // Returns true if those limits can allow a retry at some time, given enough requests.
 bool can_ever_retry(const retry_limits& limits, double share);
 
+// Returns how many retries that share of the budget allows within a time, if requests come as
+// before and no other ones are retried.
+double retries_allowed_within(const retry_budget& budget, const retry_limits& limits, double share,
+                              base::duration time, base::instant now);
+
 // Returns true if another retry fits into that share of the budget.
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
                 base::instant now);
@@ -134,6 +142,10 @@
 // Returns true if a retry is safe and can end in time, so that only the budget decides on it.
 bool may_retry_within_budget(const retry_context& context);
 
+// Returns true if a request should wait for a budget that does not allow a retry now.
+bool budget_will_suffice(const retry_budget& budget, const retry_limits& limits,
+                         const retry_context& context, base::instant now);
+
 // Returns what to do next, and charges a retry to the budget unless it is exempt. An idempotent
 // request whose response was lost and that a retry may still serve is not ended: while its attempt
 // most likely goes on, it waits for the attempt's status, and otherwise for the budget.
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -299,6 +299,36 @@
     CHECK(decide_retry(budget, limits, changed, start) == retry_decision::refuse_not_run);
 }
 
+// Guards against: all reads of a lost host waited for a budget that served few of them, and the
+// others were ended only when no time was left.
+TEST_CASE("no more requests wait for the budget than it can serve in their time",
+          "[policy][retry]") {
+    const retry_limits limits{0, 6, base::seconds(10)};
+    retry_budget budget;
+    const double share = usable_budget_share(false);
+    while (claim_retry(budget, limits, share, start)) {
+    }
+    retry_context context;
+    context.outcome_ = unknown;
+    context.idempotent_ = true;
+    context.replayable_ = true;
+    context.other_target_ = true;
+    context.run_duration_ = base::seconds(1);
+    context.min_time_left_ = base::milliseconds(100);
+    const auto decide = [&](std::size_t waiters, base::duration time_left) {
+        context.budget_waiters_ = waiters;
+        context.time_left_ = time_left;
+        return decide_retry(budget, limits, context, start);
+    };
+    // The retries leave the window after ten seconds.
+    CHECK(retries_allowed_within(budget, limits, share, base::seconds(9), start) < 1);
+    CHECK(retries_allowed_within(budget, limits, share, base::seconds(10), start) >= 4);
+    CHECK(decide(0, base::seconds(8)) == retry_decision::await_budget);
+    CHECK(decide(1, base::seconds(8)) == retry_decision::refuse_unknown);
+    CHECK(decide(3, base::seconds(12)) == retry_decision::await_budget);
+    CHECK(decide(4, base::seconds(12)) == retry_decision::refuse_unknown);
+}
+
 // Guards against: on a route that allows one attempt, a read whose response was lost was ended with
 // most of its time left, although its target was idle again.
 TEST_CASE("a request may be sent again to the target that lost its response", "[policy][retry]") {
