--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -4,8 +4,8 @@
 // that can be reached acts as the organisation's owner. A host acts only while it can reach no host
 // that ranks before it, and it grants the fraction of the rate that its reachable hosts are of all
 // hosts. Thus the sides of a partition together grant no more than the rate. A host that begins to
-// act cannot know what was granted before. It starts with a small part of what rate and burst may be
-// exceeded by, or without tokens if nothing may exceed them.
+// act cannot know what was granted before. It starts with a small part of what rate and burst may
+// be exceeded by, or without tokens if nothing may exceed them.
 #pragma once
 
 #include <cstdint>
--- a/tests/fleet_quota_test.cpp
+++ b/tests/fleet_quota_test.cpp
@@ -90,6 +90,7 @@
             {"zone z1 # test", "organisation " + organisation + " " + limit + " # test",
              "organisation " + other_organisation + " " + limit + " # test"});
         std::vector<std::string> lines;
+        lines.reserve(host_names.size());
         for (const std::string& host : host_names) {
             lines.push_back(R"({"host":")" + host +
                             R"(","zone":"z1","address":"10.0.0.1:1","state":"live","targets":[]})");
