Test a target less often the more trials it has failed

Callers saw reads end with the first 500, although sound targets were free: no retry budget was left.

The ejection now grows with each failed trial, from 1.1 to 2 s, the time within which docs/PROMISES.md wants ejected targets tested.

--- a/src/policy/target_health.cpp
+++ b/src/policy/target_health.cpp
@@ -20,7 +20,11 @@
 constexpr double eject_threshold = 0.5;
 constexpr double readmit_threshold = 0.3;
 
-constexpr base::duration ejection_duration = base::milliseconds(1100);
+// Duration of an ejection. It grows with each failed trial, since each costs a retry. At most, a
+// target that has recovered is tested after about two seconds.
+constexpr base::duration first_ejection_duration = base::milliseconds(1100);
+constexpr base::duration ejection_growth = base::milliseconds(450);
+constexpr base::duration max_ejection_duration = base::seconds(2);
 // Time on trial after which a target accepts other requests as well, in case no idempotent request
 // has come to test it.
 constexpr base::duration non_idempotent_trial_delay = base::milliseconds(500);
@@ -36,9 +40,14 @@
                       max_suspicion);
 }
 
+base::duration ejection_duration(int failed_trials) {
+    return std::min<base::duration>(first_ejection_duration + failed_trials * ejection_growth,
+                                    max_ejection_duration);
+}
+
 void eject(target_health& health, base::instant now) {
     health.state_ = health_state::ejected;
-    health.trial_starts_at_ = now + ejection_duration;
+    health.trial_starts_at_ = now + ejection_duration(health.failed_trials_);
     health.trial_running_ = false;
 }
 
@@ -81,6 +90,7 @@
     }
     health.trial_running_ = false;
     if (outcome == run_outcome::failed) {
+        ++health.failed_trials_;
         eject(health, now);
         return true;
     }
@@ -88,6 +98,7 @@
         return false;
     }
     health.state_ = health_state::healthy;
+    health.failed_trials_ = 0;
     return true;
 }
 
--- a/src/policy/target_health.h
+++ b/src/policy/target_health.h
@@ -2,8 +2,8 @@
 //
 // Pattern: outlier ejection by Bayesian inference. A target is modelled as either healthy or
 // failing, and may change between the two at any time. Each outcome of a run updates the
-// probability that it is failing at present. Above one half the target is ejected for a fixed time,
-// after which idempotent requests test it one at a time.
+// probability that it is failing at present. Above one half the target is ejected for a time that
+// grows with each trial that fails, after which idempotent requests test it one at a time.
 #pragma once
 
 #include <string_view>
@@ -28,6 +28,8 @@
     base::instant updated_at_{};
     // End of the ejection.
     base::instant trial_starts_at_{};
+    // Trials that have failed since the target was last healthy.
+    int failed_trials_ = 0;
     // A trial request is in flight.
     bool trial_running_ = false;
 };
