--- a/src/node/target_activity.cpp
+++ b/src/node/target_activity.cpp
@@ -17,6 +17,12 @@
     current.started_nested_ += nested ? 1 : 0;
 }
 
+void target_activity::record_failed(const std::string& target, bool on_trial) {
+    interval& current = intervals_[target];
+    ++current.failed_;
+    current.failed_trials_ += on_trial ? 1 : 0;
+}
+
 void target_activity::record_refused(const std::string& target, wire::refusal_reason reason) {
     ++refused_[reason];
     if (!target.empty()) {
@@ -30,17 +36,20 @@
 
 void target_activity::record_interval(const std::string& target, const target_load& load) {
     const interval ended = std::exchange(intervals_[target], {});
-    const bool quiet = ended.started_ == 0 && ended.refused_.empty() && load.running_ == 0 &&
-                       load.waiting_ == 0 && load.health_ == "healthy";
+    const bool quiet = ended.started_ == 0 && ended.failed_ == 0 && ended.refused_.empty() &&
+                       load.running_ == 0 && load.waiting_ == 0 && load.health_ == "healthy";
     if (quiet) {
         return;
     }
-    std::vector<observe::event_field> fields = {{"target", target},
-                                                {"started", std::to_string(ended.started_)},
-                                                {"nested", std::to_string(ended.started_nested_)},
-                                                {"running", std::to_string(load.running_)},
-                                                {"waiting", std::to_string(load.waiting_)},
-                                                {"health", std::string(load.health_)}};
+    std::vector<observe::event_field> fields = {
+        {"target", target},
+        {"started", std::to_string(ended.started_)},
+        {"nested", std::to_string(ended.started_nested_)},
+        {"failed", std::to_string(ended.failed_)},
+        {"failed_trials", std::to_string(ended.failed_trials_)},
+        {"running", std::to_string(load.running_)},
+        {"waiting", std::to_string(load.waiting_)},
+        {"health", std::string(load.health_)}};
     for (const auto& [reason, count] : ended.refused_) {
         fields.push_back({"refused_" + wire::to_string(reason), std::to_string(count)});
     }
--- a/src/node/target_activity.h
+++ b/src/node/target_activity.h
@@ -31,6 +31,7 @@
     explicit target_activity(observe::event_log& events) : events_(events) {}
 
     void record_started(const std::string& target, bool nested);
+    void record_failed(const std::string& target, bool on_trial);
     // An empty name: the attempt was refused before its target was known.
     void record_refused(const std::string& target, wire::refusal_reason reason);
 
@@ -52,6 +53,9 @@
     struct interval {
         std::uint64_t started_ = 0;
         std::uint64_t started_nested_ = 0;
+        // Runs that counted as failures of the target, and those of them that tested it.
+        std::uint64_t failed_ = 0;
+        std::uint64_t failed_trials_ = 0;
         refusal_counts refused_;
     };
 
--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -150,6 +150,7 @@
     const bool call_failed = last_failed_call_at_ != base::instant{};
     target.failures_.add({attempt.begin().request_id, cause, now - attempt.run_started_at(),
                           call_failed ? now - last_failed_call_at_ : base::duration::max()});
+    activity_.record_failed(target.name_, target.health_.state_ == policy::health_state::on_trial);
     record_outcome(target, policy::run_outcome::failed);
 }
 
