Keep a connection whose caller sends a long request before its response

Callers that sent a request of more than 128 KiB on a connection whose earlier request was still in progress got neither answer: the server closed the connection, and with it a request that had been passed on to a target (LOST).

The server stops reading such a connection instead, and reads on once the response is sent.

http_server_test "a long request on a connection in use ..." failed on: no byte of the first response arrived.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -14,8 +14,8 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
 
-// Bytes of the next request that may be buffered until the response to the current one is sent. A
-// connection that exceeds this is closed.
+// Bytes of the next request that are buffered until the response to the current one is sent. With
+// more of them the connection is not read.
 constexpr std::size_t max_pending_bytes = 128 * 1024;
 
 // Time for which a caller may go on sending a request that was refused because it cannot be read.
@@ -38,9 +38,7 @@
 
 // Waits for the next request. Nothing of the exchange that has ended acts on the new one.
 void server_connection::begin_exchange() {
-    if (exchange_.paused_) {
-        resume_body();
-    }
+    resume_body();
     exchange_ = {};
     const caller_limits limits = server_.options_.limits_();
     reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
@@ -75,8 +73,8 @@
         return;
     }
     pending_.append(bytes);
-    if (pending_.size() > max_pending_bytes && handler_ != nullptr && exchange_.body_ended_) {
-        drop();
+    if (pending_.size() > max_pending_bytes && exchange_.body_ended_) {
+        socket_->pause();
         return;
     }
     read_pending();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "net/http_server.h"
@@ -20,45 +21,59 @@
 // What a handler does when its request has ended.
 using reaction = std::function<void(net::http_exchange&)>;
 
+enum class body_handling {
+    read,
+    // Stops reading at the first bytes of the body.
+    pause,
+    // Reacts to the head of the request.
+    ignore,
+};
+
 class scripted_handler final : public net::http_handler {
 public:
     scripted_handler(net::http_exchange& exchange, const net::http_request& request, reaction react,
-                     bool pauses)
-        : exchange_(exchange), react_(std::move(react)), pauses_(pauses) {
-        if (!request.chunked_ && request.body_length_.value_or(0) == 0) {
+                     body_handling handling)
+        : exchange_(exchange), react_(std::move(react)), handling_(handling) {
+        const bool has_body = request.chunked_ || request.body_length_.value_or(0) > 0;
+        if (!has_body || handling_ == body_handling::ignore) {
             react_(exchange_);
         }
     }
 
     void on_body(std::string_view /*bytes*/) override {
-        if (pauses_) {
+        if (handling_ == body_handling::pause) {
             exchange_.pause_body();
         }
     }
-    void on_body_end() override { react_(exchange_); }
+    void on_body_end() override {
+        if (handling_ != body_handling::ignore) {
+            react_(exchange_);
+        }
+    }
     void on_sent(std::size_t /*bytes*/) override {}
 
 private:
     net::http_exchange& exchange_;
     reaction react_;
-    // Stops reading at the first bytes of the body.
-    bool pauses_;
+    body_handling handling_;
 };
 
 // A server and one connection of a caller to it.
 class server_side {
 public:
-    explicit server_side(reaction react, bool pauses = false)
-        : loop_(std::move(net::event_loop::create(clock_).value())) {
+    explicit server_side(reaction react, body_handling handling = body_handling::read,
+                         net::caller_limits limits = {})
+        : limits_(limits), loop_(std::move(net::event_loop::create(clock_).value())) {
         net::http_server_options options;
         options.address_ = free_address();
+        options.limits_ = [this] { return limits_; };
         options.on_framing_error_ = [this](std::string_view /*error*/) { ++broken_off_; };
         server_ = std::move(
             net::http_server::create(
                 *loop_, options,
-                [react = std::move(react), pauses](net::http_exchange& exchange,
-                                                   const net::http_request& request) {
-                    return std::make_unique<scripted_handler>(exchange, request, react, pauses);
+                [react = std::move(react), handling](net::http_exchange& exchange,
+                                                     const net::http_request& request) {
+                    return std::make_unique<scripted_handler>(exchange, request, react, handling);
                 })
                 .value());
         fd_ = socket(AF_INET, SOCK_STREAM, 0);
@@ -69,8 +84,18 @@
     server_side& operator=(const server_side&) = delete;
     ~server_side() { close(fd_); }
 
-    void send_request(const std::string& text) const {
-        send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+    // Sends as much as the connection takes now. The rest follows whenever the server runs.
+    void send_request(const std::string& text) {
+        unsent_ += text;
+        send_rest();
+    }
+
+    // Lets the server run for a while.
+    void serve() {
+        constexpr int rounds = 20;
+        for (int round = 0; round < rounds; ++round) {
+            serve_once();
+        }
     }
 
     // Returns what the caller receives until that ends with `end` or the connection is closed, at
@@ -80,10 +105,8 @@
         bool timed_out = false;
         net::timer give_up(*loop_);
         give_up.start(base::seconds(5), [&] { timed_out = true; });
-        net::timer poll(*loop_);
         while (!timed_out && !closed_ && (end.empty() || !received.ends_with(end))) {
-            poll.start(base::milliseconds(1), [] {});
-            loop_->run_once();
+            serve_once();
             char buffer[4096];
             const ssize_t count = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
             closed_ = count == 0 || (count < 0 && errno != EAGAIN);
@@ -92,6 +115,15 @@
         return received;
     }
 
+    // Sets the limits in force from now on.
+    void set_limits(net::caller_limits limits) { limits_ = limits; }
+
+    // Returns the number of requests that have a handler.
+    std::size_t open_exchanges() const { return server_->open_exchanges(); }
+
+    // True once the server has refused to read what the caller sends.
+    bool send_failed() const { return send_failed_; }
+
     // Returns how many responses the server has broken off.
     int broken_off() const { return broken_off_; }
 
@@ -117,10 +149,28 @@
         return {"127.0.0.1", ntohs(address.sin_port)};
     }
 
+    void serve_once() {
+        net::timer poll(*loop_);
+        poll.start(base::milliseconds(1), [] {});
+        loop_->run_once();
+        send_rest();
+    }
+
+    void send_rest() {
+        const ssize_t count =
+            send(fd_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        send_failed_ = send_failed_ || (count < 0 && errno != EAGAIN);
+        unsent_.erase(0, count > 0 ? static_cast<std::size_t>(count) : 0);
+    }
+
     const base::runtime_clock clock_;
+    net::caller_limits limits_;
     std::unique_ptr<net::event_loop> loop_;
     std::unique_ptr<net::http_server> server_;
     int fd_ = -1;
+    // What the caller has not sent yet.
+    std::string unsent_;
+    bool send_failed_ = false;
     bool closed_ = false;
     int broken_off_ = 0;
 };
@@ -139,6 +189,10 @@
     return response;
 }
 
+void respond_done(net::http_exchange& exchange) {
+    net::send_response(exchange, response_of({}), "done");
+}
+
 }  // namespace
 
 // Guards against: an error of a handler puts bytes of another response into a body, or ends a body
@@ -205,10 +259,7 @@
 // and its next request gets no response (CONFIG).
 TEST_CASE("a connection whose request body was paused is read for the next request",
           "[net][contract]") {
-    constexpr bool pauses = true;
-    server_side side(
-        [](net::http_exchange& exchange) { net::send_response(exchange, response_of({}), "done"); },
-        pauses);
+    server_side side(respond_done, body_handling::pause);
     for (int i = 0; i < 3; ++i) {
         INFO("request " << i);
         side.send_request(post_request("body"));
@@ -216,3 +267,25 @@
     }
     CHECK_FALSE(side.closed());
 }
+
+// Guards against: a connection was closed without the response to a request in progress, because
+// the caller had sent a long request after it (LOST).
+TEST_CASE("a long request on a connection in use waits for the response before it",
+          "[net][contract]") {
+    constexpr std::size_t longer_than_any_buffer = 1'000'000;
+    net::http_exchange* held = nullptr;
+    server_side side([&](net::http_exchange& exchange) {
+        if (held != nullptr) {
+            respond_done(exchange);
+        }
+        held = &exchange;
+    });
+    side.send_request(get_request);
+    side.send_request(post_request(std::string(longer_than_any_buffer, 'x')));
+    side.serve();
+    REQUIRE(side.open_exchanges() == 1);
+    net::send_response(*held, response_of({}), "first");
+    CHECK(side.receive_until("first").ends_with("first"));
+    CHECK(side.receive_until("done").ends_with("done"));
+    CHECK_FALSE(side.closed());
+}
