Read each request on a kept connection with the limits in force

A kept connection took the sizes and the idle timeout in force when its last response ended. After a configuration that raises them its next request was refused with 413 or 431, or the connection was closed although callers may reuse it by the new timeout.

The reader of a request is made at its first bytes, and the idle timeout is compared with the limit in force when it ends.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -40,13 +40,32 @@
 void server_connection::begin_exchange() {
     resume_body();
     exchange_ = {};
-    const caller_limits limits = server_.options_.limits_();
-    reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
+    reader_.reset();
+    idle_since_ = server_.loop_.clock().now();
     wait_for_request();
 }
 
 void server_connection::wait_for_request() {
-    timer_.start(server_.options_.limits_().idle_timeout_, [this] { drop(); });
+    const base::instant idle_until = idle_since_ + server_.options_.limits_().idle_timeout_;
+    timer_.start(idle_until - server_.loop_.clock().now(), [this] { on_idle_timeout(); });
+}
+
+// Closes the connection, unless the idle timeout was raised.
+void server_connection::on_idle_timeout() {
+    const base::instant now = server_.loop_.clock().now();
+    if (idle_since_ + server_.options_.limits_().idle_timeout_ > now) {
+        wait_for_request();
+        return;
+    }
+    drop();
+}
+
+// Begins to read a request, with the limits in force.
+void server_connection::begin_request() {
+    const caller_limits limits = server_.options_.limits_();
+    reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
+    timer_.start(limits.head_timeout_,
+                 [this] { refuse(status_timeout, "the head of the request took too long"); });
 }
 
 void server_connection::drop() {
@@ -85,9 +104,8 @@
     if (pending_.empty() || exchange_.body_ended_) {
         return;
     }
-    if (!reader_->begun()) {
-        timer_.start(server_.options_.limits_().head_timeout_,
-                     [this] { refuse(status_timeout, "the head of the request took too long"); });
+    if (reader_ == nullptr) {
+        begin_request();
     }
     const std::string bytes = std::exchange(pending_, {});
     const std::size_t used = reader_->read(bytes);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -23,7 +23,7 @@
     ~server_connection() override;
 
     // Returns true if no request is being read or processed.
-    bool idle() const { return handler_ == nullptr && !reader_->begun(); }
+    bool idle() const { return handler_ == nullptr && reader_ == nullptr; }
 
     // Closes the connection, ends its exchange and removes it from the server, which destroys it
     // after the current event.
@@ -67,18 +67,23 @@
     };
 
     void begin_exchange();
+    void begin_request();
     void read_pending();
     void handle_reader_state();
     void refuse(int status, std::string_view message);
     void end_exchange();
     bool breaks_framing(std::string_view error);
     void wait_for_request();
+    void on_idle_timeout();
 
     http_server& server_;
     std::unique_ptr<byte_socket> socket_;
+    // Not set until the first bytes of a request are read.
     std::unique_ptr<http_reader> reader_;
     // Closes an idle connection, or refuses a request whose head is not received in time.
     timer timer_;
+    // When the connection last became idle.
+    base::instant idle_since_{};
     // Bytes received but not yet read. Those of the next request are read once the response to the
     // current one is sent.
     std::string pending_;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -289,3 +289,35 @@
     CHECK(side.receive_until("done").ends_with("done"));
     CHECK_FALSE(side.closed());
 }
+
+// Guards against: the limits of a request on a kept connection were those of the end of the request
+// before it, so a request that the configuration allows was refused (DENIED).
+TEST_CASE("a request on a kept connection is read with the limits in force", "[net][contract]") {
+    net::caller_limits limits;
+    limits.body_bytes_ = 4;
+    server_side side(respond_done, body_handling::read, limits);
+    side.send_request(post_request("body"));
+    REQUIRE(side.receive_until("done").ends_with("done"));
+    limits.body_bytes_ = 100;
+    side.set_limits(limits);
+    side.send_request(post_request("a longer body"));
+    CHECK(side.receive_until("done").ends_with("done"));
+    CHECK_FALSE(side.closed());
+}
+
+// Guards against: a kept connection was closed by an idle timeout that a new configuration had
+// raised.
+TEST_CASE("a kept connection stays open for the idle timeout in force", "[net][contract]") {
+    net::caller_limits limits;
+    limits.idle_timeout_ = base::milliseconds(100);
+    server_side side(respond_done, body_handling::read, limits);
+    side.send_request(get_request);
+    REQUIRE(side.receive_until("done").ends_with("done"));
+    const base::duration earlier_timeout = limits.idle_timeout_;
+    limits.idle_timeout_ = base::seconds(60);
+    side.set_limits(limits);
+    std::this_thread::sleep_for(2 * earlier_timeout);
+    side.serve();
+    side.send_request(get_request);
+    CHECK(side.receive_until("done").ends_with("done"));
+}
