Answer a request that has arrived when its connection times out as idle

A server that had not run for longer than the idle timeout, as in a freeze, ran its timers first when it woke and closed kept connections whose next requests lay unread in the system's buffers. Callers saw a reset.

At the end of the idle timeout the connection stays open if bytes have arrived.

--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -142,6 +142,11 @@
     }
 }
 
+bool byte_socket::has_unread() const {
+    int arrived = 0;
+    return wsi_ != nullptr && ioctl(fd_, FIONREAD, &arrived) == 0 && arrived > 0;
+}
+
 std::size_t byte_socket::unacknowledged() const {
     if (wsi_ == nullptr) {
         return unacknowledged_at_close_;
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -80,6 +80,9 @@
 
     bool is_open() const { return open_; }
 
+    // Returns true if bytes have arrived that on_bytes() has not passed on yet.
+    bool has_unread() const;
+
     // Returns the number of queued bytes that are not yet sent.
     std::size_t unsent() const { return output_.size() - written_; }
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -50,9 +50,12 @@
     timer_.start(idle_until - server_.loop_.clock().now(), [this] { on_idle_timeout(); });
 }
 
-// Closes the connection, unless the idle timeout was raised.
+// Closes the connection, unless its next request has arrived or the idle timeout was raised.
 void server_connection::on_idle_timeout() {
     const base::instant now = server_.loop_.clock().now();
+    if (socket_->has_unread()) {
+        idle_since_ = now;
+    }
     if (idle_since_ + server_.options_.limits_().idle_timeout_ > now) {
         wait_for_request();
         return;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -321,3 +321,18 @@
     side.send_request(get_request);
     CHECK(side.receive_until("done").ends_with("done"));
 }
+
+// Guards against: a server that had not run for a while closed kept connections as idle although
+// their next requests had arrived.
+TEST_CASE("a request that has arrived is read after the idle timeout", "[net][contract]") {
+    net::caller_limits limits;
+    limits.idle_timeout_ = base::milliseconds(100);
+    server_side side(respond_done, body_handling::read, limits);
+    for (int i = 0; i < 3; ++i) {
+        INFO("request " << i);
+        side.send_request(get_request);
+        std::this_thread::sleep_for(2 * limits.idle_timeout_);
+        CHECK(side.receive_until("done").ends_with("done"));
+    }
+    CHECK_FALSE(side.closed());
+}
