Refuse a request whose body turns out to be unreadable

A request with a chunked body is passed on before it is whole. If its body then exceeded the limit or its framing was malformed, the connection was closed without an answer.

Such a request is ended and refused with 413 or 400, as one that is found unreadable at its head, unless its response has started.

http_server_test "a request whose body turns out to be unreadable is refused" failed on in both variants: the connection was closed without a byte.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -146,13 +146,14 @@
 
 // Sends an error response, after which the caller closes the connection. What it still sends is
 // read and discarded for a while: closing a connection with unread bytes resets it, and the
-// response may be lost. If the request already has a handler, closes the connection at once, which
-// aborts its exchange.
+// response may be lost. If the request's own response has started, closes the connection at once.
 void server_connection::refuse(int status, std::string_view message) {
-    if (handler_ != nullptr) {
+    if (exchange_.head_sent_) {
         drop();
         return;
     }
+    end_exchange();
+    resume_body();
     http_response response;
     response.status_ = status;
     response.length_ = message.size();
@@ -201,6 +202,9 @@
 }
 
 void server_connection::send_head(const http_response& response) {
+    if (refused_) {
+        return;
+    }
     if (exchange_.head_sent_ && breaks_framing("a second head")) {
         return;
     }
@@ -214,7 +218,7 @@
 }
 
 void server_connection::send_body(std::string_view bytes) {
-    if (bytes.empty() || exchange_.omit_body_) {
+    if (refused_ || bytes.empty() || exchange_.omit_body_) {
         return;
     }
     if (!exchange_.head_sent_ && breaks_framing("a body without a head")) {
@@ -233,6 +237,9 @@
 }
 
 void server_connection::finish() {
+    if (refused_) {
+        return;
+    }
     const bool incomplete = !exchange_.head_sent_ || exchange_.body_left_.value_or(0) > 0;
     if (incomplete && breaks_framing("fewer bytes than declared")) {
         return;
@@ -273,6 +280,12 @@
     read_pending();
 }
 
+void server_connection::abort() {
+    if (!refused_) {
+        drop();
+    }
+}
+
 void server_connection::pause_body() {
     exchange_.paused_ = true;
     socket_->pause();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -41,7 +41,7 @@
     void send_head(const http_response& response) override;
     void send_body(std::string_view bytes) override;
     void finish() override;
-    void abort() override { drop(); }
+    void abort() override;
     void pause_body() override;
     void resume_body() override;
 
@@ -92,7 +92,8 @@
     // The handler is being created.
     bool in_factory_ = false;
     bool dropped_ = false;
-    // An error response was sent because the request cannot be read; further bytes are discarded.
+    // An error response was sent because the request cannot be read. Further bytes, and what its
+    // handler still sends, are discarded.
     bool refused_ = false;
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -336,3 +336,25 @@
     }
     CHECK_FALSE(side.closed());
 }
+
+// Guards against: a connection was closed without an answer because the body of a request in
+// progress cannot be read (LOST).
+TEST_CASE("a request whose body turns out to be unreadable is refused", "[net][contract]") {
+    struct unreadable_body {
+        const char* chunk_;
+        const char* status_;
+    };
+    const unreadable_body body =
+        GENERATE(unreadable_body{"20\r\nmore than sixteen bytes\r\n", "413"},
+                 unreadable_body{"no chunk\r\n", "400"});
+    net::caller_limits limits;
+    limits.body_bytes_ = 16;
+    server_side side(respond_done, body_handling::read, limits);
+    side.send_request("POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n");
+    side.send_request("4\r\nbody\r\n");
+    side.serve();
+    REQUIRE(side.open_exchanges() == 1);
+    side.send_request(body.chunk_);
+    CHECK(side.receive_until("").starts_with(std::string("HTTP/1.1 ") + body.status_));
+    CHECK(side.open_exchanges() == 0);
+}
