Read a request to its end before its connection is closed

A response that ends its connection, as all do during a planned stop, closed it at once. If the target, or a refusal, had answered before the body of the request had arrived, the rest of the body reset the connection, and the response could be lost with it (LOST).

The rest of the body is read and discarded first, for one second at most.

http_server_test "a connection that ends with a response is read to the end of its request" failed on: the caller could not send the second half of its body.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -18,8 +18,9 @@
 // more of them the connection is not read.
 constexpr std::size_t max_pending_bytes = 128 * 1024;
 
-// Time for which a caller may go on sending a request that was refused because it cannot be read.
-constexpr base::duration refused_linger_time = base::seconds(1);
+// Time for which the rest of a request is read and discarded before its connection is closed:
+// closing a connection with unread bytes resets it, and the response may be lost.
+constexpr base::duration linger_time = base::seconds(1);
 
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -145,8 +146,8 @@
 }
 
 // Sends an error response, after which the caller closes the connection. What it still sends is
-// read and discarded for a while: closing a connection with unread bytes resets it, and the
-// response may be lost. If the request's own response has started, closes the connection at once.
+// read and discarded for a while. If the request's own response has started, closes the connection
+// at once.
 void server_connection::refuse(int status, std::string_view message) {
     if (exchange_.head_sent_) {
         drop();
@@ -162,7 +163,11 @@
     socket_->send(response_head_text(response, close) + std::string(message));
     refused_ = true;
     pending_.clear();
-    timer_.start(refused_linger_time, [this] { drop(); });
+    linger();
+}
+
+void server_connection::linger() {
+    timer_.start(linger_time, [this] { drop(); });
 }
 
 void server_connection::on_request_head(http_request&& request) {
@@ -264,17 +269,18 @@
     if (!response_sent || handler_ == nullptr) {
         return;
     }
-    if (exchange_.close_after_response_) {
-        drop();
-        return;
-    }
     if (!exchange_.body_ended_) {
         // The rest of the request's body is read and discarded.
-        if (exchange_.paused_) {
-            resume_body();
+        resume_body();
+        if (exchange_.close_after_response_) {
+            linger();
         }
         return;
     }
+    if (exchange_.close_after_response_) {
+        drop();
+        return;
+    }
     end_exchange();
     begin_exchange();
     read_pending();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -75,12 +75,14 @@
     bool breaks_framing(std::string_view error);
     void wait_for_request();
     void on_idle_timeout();
+    void linger();
 
     http_server& server_;
     std::unique_ptr<byte_socket> socket_;
     // Not set until the first bytes of a request are read.
     std::unique_ptr<http_reader> reader_;
-    // Closes an idle connection, or refuses a request whose head is not received in time.
+    // Closes a connection that is idle or lingers, or refuses a request whose head is not received
+    // in time.
     timer timer_;
     // When the connection last became idle.
     base::instant idle_since_{};
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -358,3 +358,20 @@
     CHECK(side.receive_until("").starts_with(std::string("HTTP/1.1 ") + body.status_));
     CHECK(side.open_exchanges() == 0);
 }
+
+// Guards against: a connection was reset while the body of its request arrived, and the response
+// that was sent before was lost with it (LOST).
+TEST_CASE("a connection that ends with a response is read to the end of its request",
+          "[net][contract]") {
+    constexpr std::size_t body_bytes = 300'000;
+    const std::string part(body_bytes / 2, 'x');
+    server_side side(respond_done, body_handling::ignore);
+    side.send_request("POST /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: " +
+                      std::to_string(body_bytes) + "\r\n\r\n" + part);
+    side.serve();
+    side.send_request(part);
+    side.serve();
+    CHECK_FALSE(side.send_failed());
+    CHECK(side.receive_until("").ends_with("done"));
+    CHECK(side.closed());
+}
