Let a slow caller read a response that has arrived whole

When the link of a response is lost after its head, the rest must arrive within the service's timeout. That timer went on after the response was whole: a caller that read slower than the timeout had its connection broken off in the middle of a response that lay complete in the process (LOST).

The timer ends with the last part of the response.

--- a/src/node/call_response.cpp
+++ b/src/node/call_response.cpp
@@ -155,6 +155,8 @@
 
 void call::finish_response() {
     finished_ = true;
+    // The caller may take its time to read a response that is whole.
+    deadline_timer_.cancel();
     owner_.dependencies_.metrics_.count_response(owner_.dependencies_.loop_.clock().now() -
                                                  started_at_);
     exchange_.finish();
--- a/tests/process_lost_link_test.cpp
+++ b/tests/process_lost_link_test.cpp
@@ -7,6 +7,7 @@
 
 #include "net/event_loop.h"
 #include "support/plans.h"
+#include "support/raw_caller.h"
 
 using namespace dandelionridge;
 using namespace dandelionridge::support;
@@ -321,6 +322,32 @@
     CHECK(std::chrono::steady_clock::now() - lost_at <= service_timeout + observation_time);
 }
 
+// Guards against: a response that was sent again after the loss of its link, and had arrived whole,
+// was broken off because its caller read it for longer than the service's timeout (LOST).
+TEST_CASE("a slow caller gets a response that was sent again after its link was lost",
+          "[lost-link]") {
+    constexpr std::uint64_t size_bytes = 900'000;
+    constexpr milliseconds service_timeout(2000);
+    constexpr int small_buffer_bytes = 16 * 1024;
+    fleet_plan plan = orders_plan({"z1", "z2"}, {"h2"}, "slots=5 timeout=2s");
+    plan.relayed_hosts_ = {"h2"};
+    plan.extra_settings_ = "freshness = lenient\n";
+    fleet fleet(plan);
+    fleet.start_all();
+    fleet.target("t1").set({.delay_ = milliseconds(300)});
+    caller_request request = order_request(fleet, "h1", "a", "GET");
+    const std::string path = "/orders/a?bytes=" + std::to_string(size_bytes);
+    request.url_ += "?bytes=" + std::to_string(size_bytes);
+    request.headers_.emplace_back("Connection: close");
+    fleet.relay_of("h2").cut_open_links_after(100'000);
+    const raw_caller caller(request, small_buffer_bytes);
+    REQUIRE(
+        wait_for([&] { return count_in_log(fleet, "h1", R"("event":"attempt_resolved")") == 1; }));
+    std::this_thread::sleep_for(2 * service_timeout);
+    CHECK(caller.receive_all().ends_with(download_bytes(path, 0, size_bytes)));
+    CHECK(fleet.runs_of("a") == 1);
+}
+
 // Guards against: a read that waited for a link to open while its process stood still was refused
 // as if no target could be reached.
 TEST_CASE("a read that waits for a link goes on after a pause of its process", "[lost-link]") {
--- a/tests/support/raw_caller.cpp
+++ b/tests/support/raw_caller.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -16,8 +17,9 @@
 
 constexpr time_t receive_timeout_s = 10;
 constexpr std::size_t buffer_bytes = 64 * 1024;
+constexpr int small_segment_bytes = 1460;
 
-int connect_to(const std::string& host_and_port) {
+int connect_to(const std::string& host_and_port, std::optional<int> receive_buffer_bytes) {
     const std::size_t colon = host_and_port.find(':');
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -27,6 +29,12 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const timeval timeout{receive_timeout_s, 0};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    if (receive_buffer_bytes) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &*receive_buffer_bytes,
+                   sizeof(*receive_buffer_bytes));
+        // The peer's system buffers some segments. Those of the loopback interface are large.
+        setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &small_segment_bytes, sizeof(small_segment_bytes));
+    }
     if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
         close(fd);
         throw std::runtime_error("cannot connect to " + host_and_port);
@@ -36,9 +44,9 @@
 
 }  // namespace
 
-raw_caller::raw_caller(const caller_request& request) {
+raw_caller::raw_caller(const caller_request& request, std::optional<int> receive_buffer_bytes) {
     const std::size_t slash = request.url_.find('/');
-    fd_ = connect_to(request.url_.substr(0, slash));
+    fd_ = connect_to(request.url_.substr(0, slash), receive_buffer_bytes);
     std::string text = request.method_ + " " + request.url_.substr(slash) + " HTTP/1.1\r\n";
     bool has_host = false;
     for (const std::string& header : request.headers_) {
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include "support/caller.h"
@@ -12,8 +13,10 @@
 
 class raw_caller {
 public:
-    // Connects and sends the request, which must have no body. Throws if that fails.
-    explicit raw_caller(const caller_request& request);
+    // Connects and sends the request, which must have no body. Throws if that fails. With
+    // `receive_buffer_bytes`, the systems of both sides buffer little of the response.
+    explicit raw_caller(const caller_request& request,
+                        std::optional<int> receive_buffer_bytes = {});
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
     ~raw_caller();
