--- a/src/config/host_list.h
+++ b/src/config/host_list.h
@@ -23,9 +23,9 @@
     int slots_ = 0;
     // The target was started recently and is slower than usual.
     bool warming_ = false;
-    // Start of the target in milliseconds since 1970; 0 if the list does not say.
+    // Start of the target in milliseconds since 1970; 0 if the list does not contain it.
     std::int64_t started_ms_ = 0;
-    // Rises with each entry that the target writes; 0 if the list does not say.
+    // Rises with each entry that the target writes; 0 if the list does not contain it.
     std::int64_t sequence_ = 0;
 };
 
@@ -60,7 +60,7 @@
 // Parses the lines of one version, each of which holds the JSON object of one host:
 // {"host":"h1","zone":"z1","address":"127.0.0.1:7001","state":"live",
 //  "targets":[{"target":"t1","service":"orders","address":"127.0.0.1:9001","started_ms":17}]}
-// `started_ms` is optional. It tells a target from a later one with the same name.
+// `started_ms` is optional. It distinguishes a target from a later one with the same name.
 base::result<hosts_ptr> parse_hosts(std::int64_t version, const std::vector<std::string>& lines);
 
 // Builds a host list: sorts the hosts by name and indexes the targets by service. Returns an error
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -39,7 +39,7 @@
     // Service of that target.
     std::string target_service_;
     // [limits]
-    // Number of ended attempts whose status the target proxy remembers.
+    // Number of ended attempts whose status the target proxy keeps.
     std::size_t remembered_attempts_ = 20'000;
     // Maximum number of requests that wait for a slot on this host, over all organisations.
     std::size_t queued_requests_ = 1'000;
@@ -56,9 +56,9 @@
     // Keyed routes are refused while the newest evidence that the configuration is current is older
     // than this.
     base::duration freshness_bound_ = base::seconds(5);
-    // False: a host that is cut off continues to accept the keys that it knows.
+    // False: a host that is cut off continues to accept the keys of its rules.
     bool strict_freshness_ = true;
-    // Maximum age of what is known of a host's versions; they are requested several times within
+    // Maximum age of the last report of a host's versions; they are requested several times within
     // it.
     base::duration view_bound_ = base::seconds(2);
     // Time within which a change of the rules is to be in force on every host, and within which a
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -148,7 +148,7 @@
     return pauses_;
 }
 
-// Listeners that are removed meanwhile are not called, and those that are added did not exist
+// Listeners that another one removes are not called, nor are those that it adds: they did not exist
 // during the pause.
 void event_loop::notify_pause_listeners() {
     const std::vector<pause_listener*> listeners(pause_listeners_.begin(), pause_listeners_.end());
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -35,7 +35,7 @@
     virtual ~pause_listener() = default;
 
     // The process was paused. Called once for each pause, from the loop and not from within another
-    // call. Listeners may be added and removed meanwhile.
+    // call. Listeners may be added and removed during the call.
     virtual void on_pause() = 0;
 };
 
--- a/src/net/frame_traffic.h
+++ b/src/net/frame_traffic.h
@@ -18,7 +18,7 @@
     request,
     // Opening a link, and showing that the peer is alive.
     liveness,
-    // Rules, host lists and what peers know of them.
+    // Rules, host lists and the versions that peers hold.
     configuration,
     quota,
     other,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,7 +19,7 @@
 // Limits of a response's head and body, in bytes. The body's limit of 1 TiB is in practice none.
 constexpr read_limits response_limits = {64 * 1024, std::uint64_t{1} << 40};
 
-// A connection on which more bytes belong to other requests' responses is given up.
+// A connection on which more bytes belong to other requests' responses is closed.
 constexpr std::uint64_t max_skipped_bytes = 1024 * 1024;
 
 // Returns the request's x-request-id, or an empty string.
@@ -306,7 +306,7 @@
         loop_.defer([ended = std::shared_ptr<byte_socket>(std::move(socket))] {});
         return;
     }
-    // The next request reads from the start, and a close by the server is noticed meanwhile.
+    // The next request reads from the start, and a close by the server is detected before it.
     socket->resume();
     idle_.push_back(
         std::make_unique<pooled_connection>(*this, std::move(socket), now, now + idle_time));
--- a/src/net/platform_reader.cpp
+++ b/src/net/platform_reader.cpp
@@ -16,7 +16,7 @@
 // failure up to max_retry_jitter.
 constexpr base::duration min_retry_delay = base::milliseconds(200);
 constexpr base::duration max_retry_jitter = base::seconds(10);
-// Time limit for a response, in addition to the wait that the call asks for.
+// Time limit for a response, in addition to the wait that the call requests.
 constexpr base::duration response_grace = base::seconds(5);
 // Consecutive failures after which the limit of the random time does not double again.
 constexpr int max_doublings = 6;
--- a/src/net/platform_reader.h
+++ b/src/net/platform_reader.h
@@ -1,6 +1,6 @@
 // Reads and watches the platform's configuration values.
 //
-// Only this module knows this protocol of the platform. GET /v1/values/NAME?after=VERSION&wait=MS
+// Only this module uses this protocol of the platform. GET /v1/values/NAME?after=VERSION&wait=MS
 // returns 200 with a manifest and X-Version, or 304 if nothing newer is published before the wait
 // ends. A manifest is a JSON object {"parts":[{"part":"NAME","digest":"SHA-256 of the part"}]}.
 // Parts are read at /v1/values/NAME/PART.
@@ -42,7 +42,7 @@
     // Called with the time at which the current version counts as confirmed: the start of a call
     // that found nothing newer, or of the call that returned the manifest of a new version.
     std::function<void(base::instant)> confirmed_;
-    // Called when a call failed. The reader retries by itself.
+    // Called when a call failed. The reader retries automatically.
     std::function<void(const base::error&)> failed_;
 };
 
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -1,5 +1,5 @@
 // An HTTP client that plays the role of a caller. It keeps one connection alive through libcurl.
-// Each request with a body gets a new connection, since libcurl resends a request on its own when
+// Each request with a body gets a new connection, since libcurl resends a request silently when
 // a reused connection turns out to be closed.
 #pragma once
 
--- a/tests/support/kept_caller.h
+++ b/tests/support/kept_caller.h
@@ -1,5 +1,5 @@
 // A caller that sends its requests one after the other on one connection, as long as that stays
-// open. Unlike libcurl it never sends a request again on its own, so a test sees each connection
+// open. Unlike libcurl it never resends a request silently, so a test detects each connection
 // that ends without an answer.
 #pragma once
 
--- a/tests/support/traffic.h
+++ b/tests/support/traffic.h
@@ -40,7 +40,7 @@
     std::uint64_t download_bytes_ = 200'000;
 };
 
-// Runs one caller thread for each key at each caller proxy. A caller that cannot connect goes on to
+// Runs one caller thread for each key at each caller proxy. A caller that cannot connect uses
 // the next caller proxy.
 class traffic {
 public:
