--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -14,12 +14,13 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_head_too_large = 431;
 
-// Bytes of the next request that may be buffered until the response to the current one is sent. A
-// connection that exceeds this is closed.
+// Bytes of the next request that are buffered until the response to the current one is sent. With
+// more of them the connection is not read.
 constexpr std::size_t max_pending_bytes = 128 * 1024;
 
-// Time for which a caller may go on sending a request that was refused because it cannot be read.
-constexpr base::duration refused_linger_time = base::seconds(1);
+// Time for which the rest of a request is read and discarded before its connection is closed:
+// closing a connection with unread bytes resets it, and the response may be lost.
+constexpr base::duration linger_time = base::seconds(1);
 
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -38,17 +39,37 @@
 
 // Waits for the next request. Nothing of the exchange that has ended acts on the new one.
 void server_connection::begin_exchange() {
-    if (exchange_.paused_) {
-        resume_body();
-    }
+    resume_body();
     exchange_ = {};
-    const caller_limits limits = server_.options_.limits_();
-    reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
+    reader_.reset();
+    idle_since_ = server_.loop_.clock().now();
     wait_for_request();
 }
 
 void server_connection::wait_for_request() {
-    timer_.start(server_.options_.limits_().idle_timeout_, [this] { drop(); });
+    const base::instant idle_until = idle_since_ + server_.options_.limits_().idle_timeout_;
+    timer_.start(idle_until - server_.loop_.clock().now(), [this] { on_idle_timeout(); });
+}
+
+// Closes the connection, unless its next request has arrived or the idle timeout was raised.
+void server_connection::on_idle_timeout() {
+    const base::instant now = server_.loop_.clock().now();
+    if (socket_->has_unread()) {
+        idle_since_ = now;
+    }
+    if (idle_since_ + server_.options_.limits_().idle_timeout_ > now) {
+        wait_for_request();
+        return;
+    }
+    drop();
+}
+
+// Begins to read a request, with the limits in force.
+void server_connection::begin_request() {
+    const caller_limits limits = server_.options_.limits_();
+    reader_ = make_request_reader(*this, {limits.head_bytes_, limits.body_bytes_});
+    timer_.start(limits.head_timeout_,
+                 [this] { refuse(status_timeout, "the head of the request took too long"); });
 }
 
 void server_connection::drop() {
@@ -75,8 +96,8 @@
         return;
     }
     pending_.append(bytes);
-    if (pending_.size() > max_pending_bytes && handler_ != nullptr && exchange_.body_ended_) {
-        drop();
+    if (pending_.size() > max_pending_bytes && exchange_.body_ended_) {
+        socket_->pause();
         return;
     }
     read_pending();
@@ -87,9 +108,8 @@
     if (pending_.empty() || exchange_.body_ended_) {
         return;
     }
-    if (!reader_->begun()) {
-        timer_.start(server_.options_.limits_().head_timeout_,
-                     [this] { refuse(status_timeout, "the head of the request took too long"); });
+    if (reader_ == nullptr) {
+        begin_request();
     }
     const std::string bytes = std::exchange(pending_, {});
     const std::size_t used = reader_->read(bytes);
@@ -126,14 +146,15 @@
 }
 
 // Sends an error response, after which the caller closes the connection. What it still sends is
-// read and discarded for a while: closing a connection with unread bytes resets it, and the
-// response may be lost. If the request already has a handler, closes the connection at once, which
-// aborts its exchange.
+// read and discarded for a while. If the request's own response has started, closes the connection
+// at once.
 void server_connection::refuse(int status, std::string_view message) {
-    if (handler_ != nullptr) {
+    if (exchange_.head_sent_) {
         drop();
         return;
     }
+    end_exchange();
+    resume_body();
     http_response response;
     response.status_ = status;
     response.length_ = message.size();
@@ -142,7 +163,11 @@
     socket_->send(response_head_text(response, close) + std::string(message));
     refused_ = true;
     pending_.clear();
-    timer_.start(refused_linger_time, [this] { drop(); });
+    linger();
+}
+
+void server_connection::linger() {
+    timer_.start(linger_time, [this] { drop(); });
 }
 
 void server_connection::on_request_head(http_request&& request) {
@@ -182,6 +207,9 @@
 }
 
 void server_connection::send_head(const http_response& response) {
+    if (refused_) {
+        return;
+    }
     if (exchange_.head_sent_ && breaks_framing("a second head")) {
         return;
     }
@@ -195,7 +223,7 @@
 }
 
 void server_connection::send_body(std::string_view bytes) {
-    if (bytes.empty() || exchange_.omit_body_) {
+    if (refused_ || bytes.empty() || exchange_.omit_body_) {
         return;
     }
     if (!exchange_.head_sent_ && breaks_framing("a body without a head")) {
@@ -214,6 +242,9 @@
 }
 
 void server_connection::finish() {
+    if (refused_) {
+        return;
+    }
     const bool incomplete = !exchange_.head_sent_ || exchange_.body_left_.value_or(0) > 0;
     if (incomplete && breaks_framing("fewer bytes than declared")) {
         return;
@@ -238,22 +269,29 @@
     if (!response_sent || handler_ == nullptr) {
         return;
     }
-    if (exchange_.close_after_response_) {
-        drop();
-        return;
-    }
     if (!exchange_.body_ended_) {
         // The rest of the request's body is read and discarded.
-        if (exchange_.paused_) {
-            resume_body();
+        resume_body();
+        if (exchange_.close_after_response_) {
+            linger();
         }
         return;
     }
+    if (exchange_.close_after_response_) {
+        drop();
+        return;
+    }
     end_exchange();
     begin_exchange();
     read_pending();
 }
 
+void server_connection::abort() {
+    if (!refused_) {
+        drop();
+    }
+}
+
 void server_connection::pause_body() {
     exchange_.paused_ = true;
     socket_->pause();
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -23,7 +23,7 @@
     ~server_connection() override;
 
     // Returns true if no request is being read or processed.
-    bool idle() const { return handler_ == nullptr && !reader_->begun(); }
+    bool idle() const { return handler_ == nullptr && reader_ == nullptr; }
 
     // Closes the connection, ends its exchange and removes it from the server, which destroys it
     // after the current event.
@@ -41,7 +41,7 @@
     void send_head(const http_response& response) override;
     void send_body(std::string_view bytes) override;
     void finish() override;
-    void abort() override { drop(); }
+    void abort() override;
     void pause_body() override;
     void resume_body() override;
 
@@ -67,18 +67,25 @@
     };
 
     void begin_exchange();
+    void begin_request();
     void read_pending();
     void handle_reader_state();
     void refuse(int status, std::string_view message);
     void end_exchange();
     bool breaks_framing(std::string_view error);
     void wait_for_request();
+    void on_idle_timeout();
+    void linger();
 
     http_server& server_;
     std::unique_ptr<byte_socket> socket_;
+    // Not set until the first bytes of a request are read.
     std::unique_ptr<http_reader> reader_;
-    // Closes an idle connection, or refuses a request whose head is not received in time.
+    // Closes a connection that is idle or lingers, or refuses a request whose head is not received
+    // in time.
     timer timer_;
+    // When the connection last became idle.
+    base::instant idle_since_{};
     // Bytes received but not yet read. Those of the next request are read once the response to the
     // current one is sent.
     std::string pending_;
@@ -87,7 +94,8 @@
     // The handler is being created.
     bool in_factory_ = false;
     bool dropped_ = false;
-    // An error response was sent because the request cannot be read; further bytes are discarded.
+    // An error response was sent because the request cannot be read. Further bytes, and what its
+    // handler still sends, are discarded.
     bool refused_ = false;
 };
 
