Reserve a retry for each request that tests a target on trial

Besides, the check for a retry was made when the target was chosen, and other requests could use up the budget before the trial failed.

A request now tests a target on trial only if a retry can be reserved for it. The reservation counts as a retry while the attempt is in progress; it is charged if the trial fails, and returned otherwise. Trials may use the whole budget of nested requests and a fifth on top of it that no other retry may use, so that targets which have recovered are found while the rest is spent: the caller proxies use at most 0.6 of the fleet's budget, 0.5 without trials. The attempt that replaces an overdue one does not test a target any more, since no retry was reserved for it.

"Only first attempts" is now a condition of the reservation, in call_attempts.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -81,6 +81,8 @@
         bool written_ = false;
         // The last part of the request's body was sent.
         bool body_ended_ = false;
+        // Set while the attempt tests a target on trial.
+        std::unique_ptr<policy::retry_reservation> reserved_retry_;
         // Bytes of the request's body sent, from its beginning.
         std::size_t body_sent_ = 0;
         // Bytes of the request's body that the target proxy still accepts.
@@ -144,6 +146,8 @@
     policy::run_kind run_kind() const;
     policy::choice_criteria criteria() const;
     bool retry_available() const;
+    bool may_reserve_retry() const;
+    void charge_reserved_retry();
     void forward_head(const wire::answer_head& head);
     void finish_response();
     void forward_held_failure();
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -51,7 +51,7 @@
     const bool found_busy = !may_wait_ && !busy_targets_.empty();
     return {context_.idempotent_, retry_available(), context_.route_->download_,
             run_kind(),           found_busy,        owner_.dependencies_.settings_.min_share_,
-            attempts_ == 0};
+            may_reserve_retry()};
 }
 
 // Returns true if the next attempt is the first, the request is idempotent, and the retry budget
@@ -64,6 +64,12 @@
     return context_.route_->attempts_ == 1 || owner_.may_retry(context_.service_->name_, nested_);
 }
 
+// Returns true if the next attempt is the first, and a retry can be reserved for it.
+bool call::may_reserve_retry() const {
+    return context_.idempotent_ && attempts_ == 0 && context_.route_->attempts_ > 1 &&
+           owner_.may_reserve_retry(context_.service_->name_);
+}
+
 std::optional<chosen_target> call::choose() {
     std::set<std::string> excluded = tried_targets_;
     excluded.insert(busy_targets_.begin(), busy_targets_.end());
@@ -100,6 +106,9 @@
     attempt_->target_ = chosen.target_->name_;
     attempt_->run_duration_ = chosen.run_duration_;
     attempt_->target_started_ms_ = chosen.target_->started_ms_;
+    if (chosen.trial_ && context_.route_->attempts_ > 1) {
+        attempt_->reserved_retry_ = owner_.reserve_retry(context_.service_->name_);
+    }
     owner_.views_.begin_attempt(attempt_->target_);
     claim_response_window();
     peer_link& link = *attempt_->link_;
@@ -222,12 +231,18 @@
     policy::retry_context retry = make_retry_context(policy::attempt_outcome::unknown);
     // The attempt in progress is not counted yet.
     ++retry.attempts_;
-    const auto other = owner_.choose(context_.service_->name_, criteria(), targets_used());
+    // The next attempt is not the first, so it must not test a target.
+    policy::choice_criteria criteria_without_test = criteria();
+    criteria_without_test.can_retry_ = false;
+    criteria_without_test.can_reserve_retry_ = false;
+    const auto other =
+        owner_.choose(context_.service_->name_, criteria_without_test, targets_used());
     retry.other_target_ = other && !other->allow_ejected_;
     retry.run_duration_ = other ? other->run_duration_ : base::duration::zero();
     if (owner_.decide_retry(context_.service_->name_, retry) != policy::retry_decision::retry) {
         return;
     }
+    charge_reserved_retry();
     record_event("overdue", attempt_->target_, time_left());
     owner_.dependencies_.metrics_.count_retry();
     may_have_run_ = true;
@@ -403,6 +418,9 @@
         }
         return;
     }
+    if (decision == policy::retry_decision::retry && !budget_exempt) {
+        charge_reserved_retry();
+    }
     abandon_attempt();
     may_have_run_ = may_have_run_ || outcome != policy::attempt_outcome::not_run;
     if (awaits_budget) {
@@ -436,6 +454,14 @@
     return retry;
 }
 
+// Charges the retry that was reserved for the attempt in progress, if any.
+void call::charge_reserved_retry() {
+    if (attempt_->reserved_retry_ != nullptr) {
+        attempt_->reserved_retry_->use(owner_.retry_limits(),
+                                       owner_.dependencies_.loop_.clock().now());
+    }
+}
+
 policy::retry_decision call::decide(const policy::retry_context& retry) {
     stop_awaiting_budget();
     const auto decision = owner_.decide_retry(context_.service_->name_, retry);
@@ -564,6 +590,8 @@
     retry.max_attempts_ = context_.route_->attempts_;
     retry.may_have_run_before_ = may_have_run_;
     retry.nested_ = nested_;
+    retry.retry_reserved_ = attempt_ != nullptr && attempt_->reserved_retry_ != nullptr &&
+                            attempt_->reserved_retry_->held();
     retry.budget_waiters_ = owner_.budget_waiters_[context_.service_->name_];
     retry.time_left_ = time_left();
     retry.reserved_time_ = time_left() - run_time_left();
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -25,8 +25,9 @@
 // change only to the caller proxies that used the target in a somewhat longer time.
 constexpr base::duration max_health_report_age = base::seconds(10);
 
-// Share of the fleet's retry budget that the caller proxies use. The rest is for what none of them
-// can refuse: a repeated run repeats its calls, and the load differs between hosts.
+// Share of the fleet's retry budget that the caller proxies use, without that for trials. The rest
+// is for what none of them can refuse: a repeated run repeats its calls, and the load differs
+// between hosts.
 constexpr double budget_share = 0.5;
 
 // Returns the region of a zone, or the zone itself if no rule names it.
@@ -218,14 +219,15 @@
                               dependencies_.loop_.clock().now());
 }
 
-bool caller_proxy::claim_retry(const std::string& service, bool nested) {
-    const bool claimed =
-        policy::claim_retry(retry_budgets_[service], retry_limits(),
-                            policy::usable_budget_share(nested), dependencies_.loop_.clock().now());
-    if (!claimed) {
-        choices_.record_retry_denied(service);
-    }
-    return claimed;
+bool caller_proxy::may_reserve_retry(const std::string& service) {
+    return policy::has_budget(retry_budgets_[service], retry_limits(), policy::trial_budget_share,
+                              dependencies_.loop_.clock().now());
+}
+
+std::unique_ptr<policy::retry_reservation> caller_proxy::reserve_retry(const std::string& service) {
+    return std::make_unique<policy::retry_reservation>(retry_budgets_[service], retry_limits(),
+                                                       policy::trial_budget_share,
+                                                       dependencies_.loop_.clock().now());
 }
 
 policy::retry_decision caller_proxy::decide_retry(const std::string& service,
@@ -312,7 +314,8 @@
         const policy::candidate candidate = make_candidate(host, entry, listed->rule_, kind);
         const bool usable = !candidate.excluded_ && !candidate.stopping_ &&
                             !candidate.unreachable_ && !candidate.ejected_;
-        return usable ? std::optional(chosen_target{&host, &entry, false, candidate.run_duration_})
+        return usable ? std::optional(
+                            chosen_target{&host, &entry, false, false, candidate.run_duration_})
                       : std::nullopt;
     }
     return std::nullopt;
@@ -344,7 +347,7 @@
     const config::target_index& target_index = listed->targets_[chosen->index_];
     const config::host_entry& host = hosts.hosts_[target_index.host_];
     return chosen_target{&host, &host.targets_[target_index.target_], chosen->allow_ejected_,
-                         candidates[chosen->index_].run_duration_};
+                         chosen->trial_, candidates[chosen->index_].run_duration_};
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -40,6 +40,8 @@
     const config::target_entry* target_ = nullptr;
     // The target is ejected, but is chosen because too few others are available.
     bool allow_ejected_ = false;
+    // The attempt tests a target on trial.
+    bool trial_ = false;
     // Expected duration of the run; zero if unknown.
     base::duration run_duration_{};
 };
@@ -168,8 +170,12 @@
     // Returns true if the retry budget of a service allows another retry.
     bool may_retry(const std::string& service, bool nested);
 
-    // Charges a retry to the budget of a service. Returns false if the budget does not allow it.
-    bool claim_retry(const std::string& service, bool nested);
+    // Returns true if the retry budget of a service allows to reserve a retry for a request that
+    // tests a target on trial.
+    bool may_reserve_retry(const std::string& service);
+
+    // Reserves a retry for a request that tests a target on trial.
+    std::unique_ptr<policy::retry_reservation> reserve_retry(const std::string& service);
 
     // Decides on another attempt for a request to a service, within the service's retry budget.
     policy::retry_decision decide_retry(const std::string& service,
--- a/src/policy/balance.cpp
+++ b/src/policy/balance.cpp
@@ -83,12 +83,12 @@
 }
 
 // Returns true if the request may test that target. A target on trial that has been idle for long
-// enough to ask for a probe is tested also without a retry left: otherwise none would recover while
-// the retry budget is spent, which is when they are needed most.
+// enough to ask for a probe is tested also with the retries that are reserved for that: otherwise
+// none would recover while the rest of the budget is spent, which is when they are needed most.
 bool may_test(const candidate& target, const choice_criteria& criteria) {
     const bool overdue_trial = target.on_trial_ && target.needs_probe_;
     return may_probe(criteria) ||
-           (overdue_trial && criteria.idempotent_ && criteria.first_attempt_);
+           (overdue_trial && criteria.idempotent_ && criteria.can_reserve_retry_);
 }
 
 bool is_out_of_rotation(const candidate& target, const choice_criteria& criteria) {
@@ -304,7 +304,11 @@
             best = find_best(search, search_stage::fallback, stopping, random);
         }
     }
-    return best ? std::optional(target_choice{best->index_, best->allow_ejected_}) : std::nullopt;
+    if (!best) {
+        return std::nullopt;
+    }
+    const bool trial = candidates[best->index_].on_trial_ && !best->allow_ejected_;
+    return target_choice{best->index_, best->allow_ejected_, trial};
 }
 
 }  // namespace dandelionridge::policy
--- a/src/policy/balance.h
+++ b/src/policy/balance.h
@@ -71,8 +71,9 @@
     bool found_busy_ = false;
     // Share of the targets that always stays in use, even if some of them are ejected.
     double min_share_ = 0;
-    // No attempt of the request has reached a target yet.
-    bool first_attempt_ = false;
+    // A retry can be reserved for the request, so that it may test a target on trial although
+    // `can_retry_` is false.
+    bool can_reserve_retry_ = false;
 };
 
 struct target_choice {
@@ -80,6 +81,8 @@
     std::size_t index_ = 0;
     // The target is out of rotation but was chosen nevertheless, because too few others are left.
     bool allow_ejected_ = false;
+    // The request tests a target on trial, which it may do only with a retry reserved.
+    bool trial_ = false;
 };
 
 // Returns true if the target seems to have a slot for another request.
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -104,7 +104,7 @@
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
                 base::instant now) {
     double requests = 0;
-    double retries = 0;
+    double retries = budget.reserved_;
     const base::duration length = limits.window_ / intervals_per_window;
     // The bound must hold for every window, so an interval that lies only partly within the window
     // counts with its retries but not with its requests.
@@ -119,7 +119,7 @@
 double retries_allowed_within(const retry_budget& budget, const retry_limits& limits, double share,
                               base::duration time, base::instant now) {
     double requests = 0;
-    double retries_left = 0;
+    double retries_left = budget.reserved_;
     for (const retry_budget::interval& interval : budget.intervals_) {
         const base::duration age = now - interval.started_at_;
         requests += age < limits.window_ ? interval.requests_ : 0;
@@ -137,6 +137,29 @@
     return true;
 }
 
+retry_reservation::retry_reservation(retry_budget& budget, const retry_limits& limits, double share,
+                                     base::instant now) {
+    if (has_budget(budget, limits, share, now)) {
+        budget.reserved_ += 1;
+        budget_ = &budget;
+    }
+}
+
+retry_reservation::~retry_reservation() {
+    if (budget_ != nullptr) {
+        budget_->reserved_ -= 1;
+    }
+}
+
+void retry_reservation::use(const retry_limits& limits, base::instant now) {
+    if (budget_ == nullptr) {
+        return;
+    }
+    budget_->reserved_ -= 1;
+    interval_at(*budget_, limits, now).retries_ += 1;
+    budget_ = nullptr;
+}
+
 bool may_retry_within_budget(const retry_context& context) {
     return retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
 }
@@ -161,7 +184,8 @@
         return retry_decision::wait;
     }
     const bool possible = may_retry_within_budget(context);
-    if (possible && (context.budget_exempt_ || claim_retry(budget, limits, share, now))) {
+    const bool covered = context.budget_exempt_ || context.retry_reserved_;
+    if (possible && (covered || claim_retry(budget, limits, share, now))) {
         return retry_decision::retry;
     }
     if (context.outcome_ == attempt_outcome::failed) {
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -35,7 +35,8 @@
     forward_failure,
 };
 
-// Bounds on the attempts that reach a service's targets beyond the first one of each request.
+// Bounds on the attempts that reach a service's targets beyond the first one of each request, but
+// for those that `trial_budget_share` adds.
 struct retry_limits {
     // Retries allowed per request within the window.
     double ratio_ = 0.1;
@@ -52,6 +53,30 @@
         double retries_ = 0;
     };
     std::deque<interval> intervals_;
+    // Retries that are reserved for attempts in progress.
+    double reserved_ = 0;
+};
+
+// A retry that is reserved for an attempt in progress. Returned to the budget when it is destroyed
+// without having been used.
+class retry_reservation {
+public:
+    // Reserves a retry if it fits into that share of the budget, which must outlive the
+    // reservation.
+    retry_reservation(retry_budget& budget, const retry_limits& limits, double share,
+                      base::instant now);
+    retry_reservation(const retry_reservation&) = delete;
+    retry_reservation& operator=(const retry_reservation&) = delete;
+    ~retry_reservation();
+
+    // Returns true if a retry is reserved.
+    bool held() const { return budget_ != nullptr; }
+
+    // Charges the reserved retry to the budget, as one that begins now.
+    void use(const retry_limits& limits, base::instant now);
+
+private:
+    retry_budget* budget_ = nullptr;
 };
 
 struct retry_context {
@@ -73,6 +98,8 @@
     bool target_failed_ = false;
     // The attempt that ended reached no target, so another one does not use the budget.
     bool budget_exempt_ = false;
+    // A retry was reserved for the attempt when it began.
+    bool retry_reserved_ = false;
     // Other requests that wait for the budget.
     std::size_t budget_waiters_ = 0;
     // The request was made by a running request: if it fails, that run is lost as well.
@@ -119,6 +146,10 @@
 // Returns the share of the budget that a request may use: some of it is reserved for nested ones.
 double usable_budget_share(bool nested);
 
+// Share of the budget that requests which test a target on trial may use. What exceeds 1 is
+// reserved for them, so that targets that have recovered are found while the rest is spent.
+inline constexpr double trial_budget_share = 1.2;
+
 // Counts a new request towards the budget. `repeat_probability` is the probability that a repeated
 // run made the request; that fraction of it also counts as a retry.
 void record_request(retry_budget& budget, const retry_limits& limits, double repeat_probability,
@@ -146,7 +177,8 @@
 bool budget_will_suffice(const retry_budget& budget, const retry_limits& limits,
                          const retry_context& context, base::instant now);
 
-// Returns what to do next, and charges a retry to the budget unless it is exempt. An idempotent
+// Returns what to do next, and charges a retry to the budget unless it is exempt or reserved, in
+// which case the caller uses the reservation. An idempotent
 // request whose response was lost and that a retry may still serve is not ended: while its attempt
 // most likely goes on, it waits for the attempt's status, and otherwise for the budget.
 retry_decision decide_retry(retry_budget& budget, const retry_limits& limits,
