Lend retries between hosts

A request that only its host's share keeps from a retry now asks up to five random hosts, one after the other, to charge the retry to theirs. The lender charges before it replies, so a lost reply costs a retry and never adds one; old programs do not reply, and the request is ended as before after the timeouts. Lent is only what is not reserved for nested requests.

--- a/src/net/frame_traffic.cpp
+++ b/src/net/frame_traffic.cpp
@@ -23,7 +23,8 @@
 }
 
 bool is_quota_frame(const wire::frame& frame) {
-    return frame.__isset.lease_request_ || frame.__isset.lease_grant_;
+    return frame.__isset.lease_request_ || frame.__isset.lease_grant_ ||
+           frame.__isset.retry_loan_request_ || frame.__isset.retry_loan_;
 }
 
 }  // namespace
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -79,6 +79,7 @@
         owner_.dependencies_.on_nested_call_failed_();
     }
     owner_.dependencies_.quota_.cancel(*this);
+    owner_.dependencies_.retry_loans_.cancel(*this);
     stop_awaiting_budget();
     abandon_attempt();
 }
@@ -171,6 +172,7 @@
     const bool written = attempt_ != nullptr && attempt_->written_;
     abandon_attempt();
     owner_.dependencies_.quota_.cancel(*this);
+    owner_.dependencies_.retry_loans_.cancel(*this);
     if (head_sent_) {
         abort_response();
     } else if (held_failure_) {
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -11,6 +11,7 @@
 
 #include "config/host_list.h"
 #include "control/quota.h"
+#include "control/retry_loans.h"
 #include "filter/request_context.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -24,7 +25,10 @@
 // Base of the Retry-After delay of a refusal when no better estimate is known.
 inline constexpr base::duration default_retry_after = base::milliseconds(300);
 
-class call final : public net::http_handler, public attempt_events, public control::quota_listener {
+class call final : public net::http_handler,
+                   public attempt_events,
+                   public control::quota_listener,
+                   public control::retry_loan_listener {
 public:
     call(caller_proxy& owner, net::http_exchange& exchange, net::http_request request);
     call(const call&) = delete;
@@ -41,6 +45,9 @@
     void on_admitted() override;
     void on_over_rate(base::duration retry_after) override;
 
+    void on_retry_lent() override;
+    void on_no_retry_lent() override;
+
     void on_written(policy::attempt_id attempt) override;
     void on_response_head(const wire::answer_head& head) override;
     void on_response_body(const wire::body_part& part) override;
@@ -104,6 +111,11 @@
         bool resendable_ = false;
         // The reason given to the caller if no retry takes place.
         filter::reason reason_ = filter::reason::response_lost;
+        // How the attempt ended, and what follows if no host lends a retry.
+        policy::attempt_outcome outcome_ = policy::attempt_outcome::unknown;
+        policy::retry_decision decision_ = policy::retry_decision::refuse_unknown;
+        // Expected duration of another run; zero if unknown.
+        base::duration run_duration_{};
     };
 
     void begin();
@@ -131,6 +143,8 @@
     void start_retry(const std::string& target, const policy::retry_context& retry);
     void start_status_wait(link_loss loss);
     void await_resolution();
+    bool borrow_retry(const policy::retry_context& retry, const awaited_retry& awaited);
+    void continue_without_retry(const awaited_retry& awaited);
     void await_budget(base::duration run_duration);
     void stop_awaiting_budget();
     bool budget_is_missing() const;
--- a/src/node/call_attempts.cpp
+++ b/src/node/call_attempts.cpp
@@ -423,13 +423,53 @@
     }
     abandon_attempt();
     may_have_run_ = may_have_run_ || outcome != policy::attempt_outcome::not_run;
-    if (awaits_budget) {
-        awaited_retry_ = {target, resendable, reason};
-        await_budget(retry.run_duration_);
-    } else if (decision == policy::retry_decision::retry) {
+    if (decision == policy::retry_decision::retry) {
         start_retry(target, retry);
+        return;
+    }
+    const awaited_retry awaited = {target,  resendable, reason,
+                                   outcome, decision,   retry.run_duration_};
+    if (!borrow_retry(retry, awaited)) {
+        continue_without_retry(awaited);
+    }
+}
+
+// Asks other hosts for a retry if only this host's share of the budget does not allow one. Returns
+// false if none is asked.
+bool call::borrow_retry(const policy::retry_context& retry, const awaited_retry& awaited) {
+    if (!policy::may_borrow_retry(retry, awaited.decision_) ||
+        !owner_.dependencies_.retry_loans_.request(context_.service_->name_, *this)) {
+        return false;
+    }
+    awaited_retry_ = awaited;
+    return true;
+}
+
+void call::on_retry_lent() {
+    const awaited_retry awaited = *std::exchange(awaited_retry_, {});
+    policy::retry_context retry =
+        plan_retry(awaited.outcome_, awaited.target_, awaited.resendable_, false);
+    retry.retry_reserved_ = true;
+    if (decide(retry) == policy::retry_decision::retry) {
+        record_event("retry_borrowed", awaited.target_, time_left());
+        start_retry(awaited.target_, retry);
+    } else {
+        continue_without_retry(awaited);
+    }
+}
+
+void call::on_no_retry_lent() {
+    continue_without_retry(*std::exchange(awaited_retry_, {}));
+}
+
+// Waits for this host's share of the budget, or ends the request, as was decided after its last
+// attempt.
+void call::continue_without_retry(const awaited_retry& awaited) {
+    if (awaited.decision_ == policy::retry_decision::await_budget) {
+        awaited_retry_ = awaited;
+        await_budget(awaited.run_duration_);
     } else {
-        end_without_retry(decision, reason);
+        end_without_retry(awaited.decision_, awaited.reason_);
     }
 }
 
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -234,6 +234,13 @@
                                                        dependencies_.loop_.clock().now());
 }
 
+// Lends what is left beside the part that is reserved for nested requests.
+bool caller_proxy::lend_retry(const std::string& service) {
+    return find_service(service) && policy::claim_retry(retry_budgets_[service], retry_limits(),
+                                                        policy::usable_budget_share(false),
+                                                        dependencies_.loop_.clock().now());
+}
+
 policy::retry_decision caller_proxy::decide_retry(const std::string& service,
                                                   const policy::retry_context& context) {
     const policy::retry_decision decision = policy::decide_retry(
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -16,6 +16,7 @@
 #include "config/settings.h"
 #include "control/configuration.h"
 #include "control/quota.h"
+#include "control/retry_loans.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "node/choice_log.h"
@@ -54,6 +55,7 @@
     const link_identity& identity_;
     const control::configuration& configuration_;
     control::quota_gate& quota_;
+    control::retry_loans& retry_loans_;
     link_pool& links_;
     policy::response_memory& response_memory_;
     observe::metrics& metrics_;
@@ -66,14 +68,14 @@
     std::function<double()> repeat_share_;
 };
 
-class caller_proxy {
+class caller_proxy final : public control::retry_lender {
 public:
     // Starts listening for callers. Returns an error if the listener cannot be created.
     static base::result<std::unique_ptr<caller_proxy>> create(
         caller_proxy_dependencies dependencies);
     caller_proxy(const caller_proxy&) = delete;
     caller_proxy& operator=(const caller_proxy&) = delete;
-    ~caller_proxy();
+    ~caller_proxy() override;
 
     // Begins a planned stop: from now on, closes each caller's connection after its next response,
     // does not choose the targets of this host, and accepts only requests that can end before
@@ -106,6 +108,8 @@
     // process is about to exit.
     void finish_all_calls();
 
+    bool lend_retry(const std::string& service) override;
+
     // Returns the number of requests whose response is not yet complete.
     std::size_t open_calls() const { return server_->open_exchanges(); }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,6 +83,7 @@
       quota_(clock, configuration_, *this, settings_.host_,
              {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}),
       quota_log_(clock, events_),
+      retry_loans_(clock, configuration_, *this, settings_.host_),
       response_memory_{response_bytes_limit(settings_)} {
     quota_.set_observer(quota_log_);
 }
@@ -133,7 +134,7 @@
     target_proxy_ = std::move(*created_target_proxy);
     auto created_caller_proxy =
         caller_proxy::create({*loop_, settings_, environment_.headers_, identity_, configuration_,
-                              quota_, *links_, response_memory_, metrics_, events_,
+                              quota_, retry_loans_, *links_, response_memory_, metrics_, events_,
                               [this] { target_proxy_->record_failed_nested_call(); },
                               [this] { return target_proxy_->repeat_share(); }});
     if (!created_caller_proxy) {
@@ -193,6 +194,7 @@
 void node::tick() {
     gossip_.tick(feed_->platform_available());
     quota_.tick();
+    retry_loans_.tick();
     tick_timer_->start(tick_interval, [this] { tick(); });
 }
 
@@ -313,6 +315,12 @@
         }
     } else if (frame.__isset.lease_grant_) {
         quota_.on_grant(frame.lease_grant_);
+    } else if (frame.__isset.retry_loan_request_) {
+        reply_frame.__set_retry_loan_(
+            control::retry_loans::on_request(frame.retry_loan_request_, *caller_proxy_));
+        reply(reply_frame);
+    } else if (frame.__isset.retry_loan_) {
+        retry_loans_.on_reply(frame.retry_loan_);
     }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "control/fleet_quota.h"
 #include "control/gossip.h"
 #include "control/peer_sender.h"
+#include "control/retry_loans.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "node/caller_proxy.h"
@@ -95,6 +96,7 @@
     control::gossip gossip_;
     control::fleet_quota quota_;
     quota_log quota_log_;
+    control::retry_loans retry_loans_;
     // Memory for the bodies of the responses that this host's targets or its callers get.
     policy::response_memory response_memory_;
     // Bytes of the frames that this process has exchanged with its peers.
--- a/src/node/node_admin.cpp
+++ b/src/node/node_admin.cpp
@@ -31,6 +31,18 @@
     return counter;
 }
 
+observe::labelled_counter make_loan_counter(const control::retry_loans& loans) {
+    observe::labelled_counter counter{"dandelionridge_retry_loans_total",
+                                      "Requests to other hosts to charge a retry, by reply.",
+                                      "reply",
+                                      {}};
+    for (std::size_t i = 0; i < loans.replies().size(); ++i) {
+        counter.values_.emplace(control::to_text(static_cast<control::loan_reply>(i)),
+                                loans.replies().at(i));
+    }
+    return counter;
+}
+
 observe::labelled_counter make_token_counter(const control::quota_counters& counters) {
     observe::labelled_counter counter{"dandelionridge_quota_tokens_total",
                                       "Tokens requested from this host as owner, by result.",
@@ -165,7 +177,8 @@
                            "Bytes queued for peers, by kind of frame.", traffic_.sent_),
          make_byte_counter("dandelionridge_peer_received_bytes_total",
                            "Bytes received from peers, by kind of frame.", traffic_.received_),
-         make_token_counter(quota_.counters()), make_quota_refusal_counter(quota_.counters())});
+         make_token_counter(quota_.counters()), make_quota_refusal_counter(quota_.counters()),
+         make_loan_counter(retry_loans_)});
 }
 
 }  // namespace dandelionridge::node
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -164,6 +164,11 @@
     return retry_is_safe(context) && retry_is_feasible(context, base::duration::zero());
 }
 
+bool may_borrow_retry(const retry_context& context, retry_decision decision) {
+    return decision != retry_decision::retry && decision != retry_decision::wait &&
+           may_retry_within_budget(context);
+}
+
 // Returns true if the budget will most likely allow a retry while it can still end in time, after
 // those of the requests that wait already. One request may wait for what further requests add.
 bool budget_will_suffice(const retry_budget& budget, const retry_limits& limits,
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -98,7 +98,8 @@
     bool target_failed_ = false;
     // The attempt that ended reached no target, so another one does not use the budget.
     bool budget_exempt_ = false;
-    // A retry was reserved for the attempt when it began.
+    // The retry was charged already: it was reserved when the attempt began, or another host lent
+    // it.
     bool retry_reserved_ = false;
     // Other requests that wait for the budget.
     std::size_t budget_waiters_ = 0;
@@ -173,6 +174,10 @@
 // Returns true if a retry is safe and can end in time, so that only the budget decides on it.
 bool may_retry_within_budget(const retry_context& context);
 
+// Returns true if only this host's share of the budget kept the request from a retry, so that
+// another host's share may serve it.
+bool may_borrow_retry(const retry_context& context, retry_decision decision);
+
 // Returns true if a request should wait for a budget that does not allow a retry now.
 bool budget_will_suffice(const retry_budget& budget, const retry_limits& limits,
                          const retry_context& context, base::instant now);
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -294,6 +294,21 @@
     5: bool granting
 }
 
+// Asks the receiver to charge a retry of a request to the service to its own share of the retry
+// budget, so that the sender may retry the request.
+struct retry_loan_request {
+    // Number of the request, which the reply repeats.
+    1: i64 request
+    2: string service_name
+}
+
+// Reply to retry_loan_request.
+struct retry_loan {
+    1: i64 request
+    // The retry was charged to the sender's share of the budget.
+    2: bool granted
+}
+
 struct frame {
     1: optional hello hello_
     2: optional welcome welcome_
@@ -317,4 +332,6 @@
     20: optional view_question view_question_
     21: optional view_answer view_answer_
     22: optional config_busy busy_
+    24: optional retry_loan_request retry_loan_request_
+    25: optional retry_loan retry_loan_
 }
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -4896,6 +4896,252 @@
 }
 
 
+retry_loan_request::~retry_loan_request() noexcept {
+}
+
+
+void retry_loan_request::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void retry_loan_request::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+std::ostream& operator<<(std::ostream& out, const retry_loan_request& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t retry_loan_request::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t retry_loan_request::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("retry_loan_request");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(retry_loan_request &a, retry_loan_request &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.service_name, b.service_name);
+  swap(a.__isset, b.__isset);
+}
+
+retry_loan_request::retry_loan_request(const retry_loan_request& other158) {
+  request = other158.request;
+  service_name = other158.service_name;
+  __isset = other158.__isset;
+}
+retry_loan_request::retry_loan_request(retry_loan_request&& other159) noexcept {
+  request = other159.request;
+  service_name = std::move(other159.service_name);
+  __isset = other159.__isset;
+}
+retry_loan_request& retry_loan_request::operator=(const retry_loan_request& other160) {
+  request = other160.request;
+  service_name = other160.service_name;
+  __isset = other160.__isset;
+  return *this;
+}
+retry_loan_request& retry_loan_request::operator=(retry_loan_request&& other161) noexcept {
+  request = other161.request;
+  service_name = std::move(other161.service_name);
+  __isset = other161.__isset;
+  return *this;
+}
+void retry_loan_request::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "retry_loan_request(";
+  out << "request=" << to_string(request);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ")";
+}
+
+
+retry_loan::~retry_loan() noexcept {
+}
+
+
+void retry_loan::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void retry_loan::__set_granted(const bool val) {
+  this->granted = val;
+}
+std::ostream& operator<<(std::ostream& out, const retry_loan& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t retry_loan::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t retry_loan::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("retry_loan");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(retry_loan &a, retry_loan &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.granted, b.granted);
+  swap(a.__isset, b.__isset);
+}
+
+retry_loan::retry_loan(const retry_loan& other162) noexcept {
+  request = other162.request;
+  granted = other162.granted;
+  __isset = other162.__isset;
+}
+retry_loan::retry_loan(retry_loan&& other163) noexcept {
+  request = other163.request;
+  granted = other163.granted;
+  __isset = other163.__isset;
+}
+retry_loan& retry_loan::operator=(const retry_loan& other164) noexcept {
+  request = other164.request;
+  granted = other164.granted;
+  __isset = other164.__isset;
+  return *this;
+}
+retry_loan& retry_loan::operator=(retry_loan&& other165) noexcept {
+  request = other165.request;
+  granted = other165.granted;
+  __isset = other165.__isset;
+  return *this;
+}
+void retry_loan::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "retry_loan(";
+  out << "request=" << to_string(request);
+  out << ", " << "granted=" << to_string(granted);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -5009,6 +5255,16 @@
   this->busy_ = val;
 __isset.busy_ = true;
 }
+
+void frame::__set_retry_loan_request_(const retry_loan_request& val) {
+  this->retry_loan_request_ = val;
+__isset.retry_loan_request_ = true;
+}
+
+void frame::__set_retry_loan_(const retry_loan& val) {
+  this->retry_loan_ = val;
+__isset.retry_loan_ = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -5213,6 +5469,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retry_loan_request_.read(iprot);
+          this->__isset.retry_loan_request_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retry_loan_.read(iprot);
+          this->__isset.retry_loan_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5340,6 +5612,16 @@
     xfer += this->busy_.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.retry_loan_request_) {
+    xfer += oprot->writeFieldBegin("retry_loan_request_", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->retry_loan_request_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retry_loan_) {
+    xfer += oprot->writeFieldBegin("retry_loan_", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->retry_loan_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5369,109 +5651,119 @@
   swap(a.view_question_, b.view_question_);
   swap(a.view_answer_, b.view_answer_);
   swap(a.busy_, b.busy_);
+  swap(a.retry_loan_request_, b.retry_loan_request_);
+  swap(a.retry_loan_, b.retry_loan_);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other158) {
-  hello_ = other158.hello_;
-  welcome_ = other158.welcome_;
-  begin_ = other158.begin_;
-  body_ = other158.body_;
-  credit_ = other158.credit_;
-  cancel_ = other158.cancel_;
-  head_ = other158.head_;
-  refused_ = other158.refused_;
-  failed_ = other158.failed_;
-  resolve_ = other158.resolve_;
-  resolution_ = other158.resolution_;
-  ping_ = other158.ping_;
-  pong_ = other158.pong_;
-  drain_ = other158.drain_;
-  pull_ = other158.pull_;
-  update_ = other158.update_;
-  lease_request_ = other158.lease_request_;
-  lease_grant_ = other158.lease_grant_;
-  report_ = other158.report_;
-  view_question_ = other158.view_question_;
-  view_answer_ = other158.view_answer_;
-  busy_ = other158.busy_;
-  __isset = other158.__isset;
-}
-frame::frame(frame&& other159) noexcept {
-  hello_ = std::move(other159.hello_);
-  welcome_ = std::move(other159.welcome_);
-  begin_ = std::move(other159.begin_);
-  body_ = std::move(other159.body_);
-  credit_ = std::move(other159.credit_);
-  cancel_ = std::move(other159.cancel_);
-  head_ = std::move(other159.head_);
-  refused_ = std::move(other159.refused_);
-  failed_ = std::move(other159.failed_);
-  resolve_ = std::move(other159.resolve_);
-  resolution_ = std::move(other159.resolution_);
-  ping_ = std::move(other159.ping_);
-  pong_ = std::move(other159.pong_);
-  drain_ = std::move(other159.drain_);
-  pull_ = std::move(other159.pull_);
-  update_ = std::move(other159.update_);
-  lease_request_ = std::move(other159.lease_request_);
-  lease_grant_ = std::move(other159.lease_grant_);
-  report_ = std::move(other159.report_);
-  view_question_ = std::move(other159.view_question_);
-  view_answer_ = std::move(other159.view_answer_);
-  busy_ = std::move(other159.busy_);
-  __isset = other159.__isset;
-}
-frame& frame::operator=(const frame& other160) {
-  hello_ = other160.hello_;
-  welcome_ = other160.welcome_;
-  begin_ = other160.begin_;
-  body_ = other160.body_;
-  credit_ = other160.credit_;
-  cancel_ = other160.cancel_;
-  head_ = other160.head_;
-  refused_ = other160.refused_;
-  failed_ = other160.failed_;
-  resolve_ = other160.resolve_;
-  resolution_ = other160.resolution_;
-  ping_ = other160.ping_;
-  pong_ = other160.pong_;
-  drain_ = other160.drain_;
-  pull_ = other160.pull_;
-  update_ = other160.update_;
-  lease_request_ = other160.lease_request_;
-  lease_grant_ = other160.lease_grant_;
-  report_ = other160.report_;
-  view_question_ = other160.view_question_;
-  view_answer_ = other160.view_answer_;
-  busy_ = other160.busy_;
-  __isset = other160.__isset;
+frame::frame(const frame& other166) {
+  hello_ = other166.hello_;
+  welcome_ = other166.welcome_;
+  begin_ = other166.begin_;
+  body_ = other166.body_;
+  credit_ = other166.credit_;
+  cancel_ = other166.cancel_;
+  head_ = other166.head_;
+  refused_ = other166.refused_;
+  failed_ = other166.failed_;
+  resolve_ = other166.resolve_;
+  resolution_ = other166.resolution_;
+  ping_ = other166.ping_;
+  pong_ = other166.pong_;
+  drain_ = other166.drain_;
+  pull_ = other166.pull_;
+  update_ = other166.update_;
+  lease_request_ = other166.lease_request_;
+  lease_grant_ = other166.lease_grant_;
+  report_ = other166.report_;
+  view_question_ = other166.view_question_;
+  view_answer_ = other166.view_answer_;
+  busy_ = other166.busy_;
+  retry_loan_request_ = other166.retry_loan_request_;
+  retry_loan_ = other166.retry_loan_;
+  __isset = other166.__isset;
+}
+frame::frame(frame&& other167) noexcept {
+  hello_ = std::move(other167.hello_);
+  welcome_ = std::move(other167.welcome_);
+  begin_ = std::move(other167.begin_);
+  body_ = std::move(other167.body_);
+  credit_ = std::move(other167.credit_);
+  cancel_ = std::move(other167.cancel_);
+  head_ = std::move(other167.head_);
+  refused_ = std::move(other167.refused_);
+  failed_ = std::move(other167.failed_);
+  resolve_ = std::move(other167.resolve_);
+  resolution_ = std::move(other167.resolution_);
+  ping_ = std::move(other167.ping_);
+  pong_ = std::move(other167.pong_);
+  drain_ = std::move(other167.drain_);
+  pull_ = std::move(other167.pull_);
+  update_ = std::move(other167.update_);
+  lease_request_ = std::move(other167.lease_request_);
+  lease_grant_ = std::move(other167.lease_grant_);
+  report_ = std::move(other167.report_);
+  view_question_ = std::move(other167.view_question_);
+  view_answer_ = std::move(other167.view_answer_);
+  busy_ = std::move(other167.busy_);
+  retry_loan_request_ = std::move(other167.retry_loan_request_);
+  retry_loan_ = std::move(other167.retry_loan_);
+  __isset = other167.__isset;
+}
+frame& frame::operator=(const frame& other168) {
+  hello_ = other168.hello_;
+  welcome_ = other168.welcome_;
+  begin_ = other168.begin_;
+  body_ = other168.body_;
+  credit_ = other168.credit_;
+  cancel_ = other168.cancel_;
+  head_ = other168.head_;
+  refused_ = other168.refused_;
+  failed_ = other168.failed_;
+  resolve_ = other168.resolve_;
+  resolution_ = other168.resolution_;
+  ping_ = other168.ping_;
+  pong_ = other168.pong_;
+  drain_ = other168.drain_;
+  pull_ = other168.pull_;
+  update_ = other168.update_;
+  lease_request_ = other168.lease_request_;
+  lease_grant_ = other168.lease_grant_;
+  report_ = other168.report_;
+  view_question_ = other168.view_question_;
+  view_answer_ = other168.view_answer_;
+  busy_ = other168.busy_;
+  retry_loan_request_ = other168.retry_loan_request_;
+  retry_loan_ = other168.retry_loan_;
+  __isset = other168.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other161) noexcept {
-  hello_ = std::move(other161.hello_);
-  welcome_ = std::move(other161.welcome_);
-  begin_ = std::move(other161.begin_);
-  body_ = std::move(other161.body_);
-  credit_ = std::move(other161.credit_);
-  cancel_ = std::move(other161.cancel_);
-  head_ = std::move(other161.head_);
-  refused_ = std::move(other161.refused_);
-  failed_ = std::move(other161.failed_);
-  resolve_ = std::move(other161.resolve_);
-  resolution_ = std::move(other161.resolution_);
-  ping_ = std::move(other161.ping_);
-  pong_ = std::move(other161.pong_);
-  drain_ = std::move(other161.drain_);
-  pull_ = std::move(other161.pull_);
-  update_ = std::move(other161.update_);
-  lease_request_ = std::move(other161.lease_request_);
-  lease_grant_ = std::move(other161.lease_grant_);
-  report_ = std::move(other161.report_);
-  view_question_ = std::move(other161.view_question_);
-  view_answer_ = std::move(other161.view_answer_);
-  busy_ = std::move(other161.busy_);
-  __isset = other161.__isset;
+frame& frame::operator=(frame&& other169) noexcept {
+  hello_ = std::move(other169.hello_);
+  welcome_ = std::move(other169.welcome_);
+  begin_ = std::move(other169.begin_);
+  body_ = std::move(other169.body_);
+  credit_ = std::move(other169.credit_);
+  cancel_ = std::move(other169.cancel_);
+  head_ = std::move(other169.head_);
+  refused_ = std::move(other169.refused_);
+  failed_ = std::move(other169.failed_);
+  resolve_ = std::move(other169.resolve_);
+  resolution_ = std::move(other169.resolution_);
+  ping_ = std::move(other169.ping_);
+  pong_ = std::move(other169.pong_);
+  drain_ = std::move(other169.drain_);
+  pull_ = std::move(other169.pull_);
+  update_ = std::move(other169.update_);
+  lease_request_ = std::move(other169.lease_request_);
+  lease_grant_ = std::move(other169.lease_grant_);
+  report_ = std::move(other169.report_);
+  view_question_ = std::move(other169.view_question_);
+  view_answer_ = std::move(other169.view_answer_);
+  busy_ = std::move(other169.busy_);
+  retry_loan_request_ = std::move(other169.retry_loan_request_);
+  retry_loan_ = std::move(other169.retry_loan_);
+  __isset = other169.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5499,6 +5791,8 @@
   out << ", " << "view_question_="; (__isset.view_question_ ? (out << to_string(view_question_)) : (out << "<null>"));
   out << ", " << "view_answer_="; (__isset.view_answer_ ? (out << to_string(view_answer_)) : (out << "<null>"));
   out << ", " << "busy_="; (__isset.busy_ ? (out << to_string(busy_)) : (out << "<null>"));
+  out << ", " << "retry_loan_request_="; (__isset.retry_loan_request_ ? (out << to_string(retry_loan_request_)) : (out << "<null>"));
+  out << ", " << "retry_loan_="; (__isset.retry_loan_ ? (out << to_string(retry_loan_)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -132,6 +132,10 @@
 
 class lease_grant;
 
+class retry_loan_request;
+
+class retry_loan;
+
 class frame;
 
 typedef struct _attempt_ref__isset {
@@ -1935,8 +1939,112 @@
 
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj);
 
+typedef struct _retry_loan_request__isset {
+  _retry_loan_request__isset() : request(false), service_name(false) {}
+  bool request :1;
+  bool service_name :1;
+} _retry_loan_request__isset;
+
+class retry_loan_request : public virtual ::apache::thrift::TBase {
+ public:
+
+  retry_loan_request(const retry_loan_request&);
+  retry_loan_request(retry_loan_request&&) noexcept;
+  retry_loan_request& operator=(const retry_loan_request&);
+  retry_loan_request& operator=(retry_loan_request&&) noexcept;
+  retry_loan_request() noexcept
+                     : request(0),
+                       service_name() {
+  }
+
+  virtual ~retry_loan_request() noexcept;
+  int64_t request;
+  std::string service_name;
+
+  _retry_loan_request__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  bool operator == (const retry_loan_request & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    return true;
+  }
+  bool operator != (const retry_loan_request &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const retry_loan_request & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(retry_loan_request &a, retry_loan_request &b);
+
+std::ostream& operator<<(std::ostream& out, const retry_loan_request& obj);
+
+typedef struct _retry_loan__isset {
+  _retry_loan__isset() : request(false), granted(false) {}
+  bool request :1;
+  bool granted :1;
+} _retry_loan__isset;
+
+class retry_loan : public virtual ::apache::thrift::TBase {
+ public:
+
+  retry_loan(const retry_loan&) noexcept;
+  retry_loan(retry_loan&&) noexcept;
+  retry_loan& operator=(const retry_loan&) noexcept;
+  retry_loan& operator=(retry_loan&&) noexcept;
+  retry_loan() noexcept
+             : request(0),
+               granted(0) {
+  }
+
+  virtual ~retry_loan() noexcept;
+  int64_t request;
+  bool granted;
+
+  _retry_loan__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_granted(const bool val);
+
+  bool operator == (const retry_loan & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    return true;
+  }
+  bool operator != (const retry_loan &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const retry_loan & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(retry_loan &a, retry_loan &b);
+
+std::ostream& operator<<(std::ostream& out, const retry_loan& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false), busy_(false) {}
+  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false), busy_(false), retry_loan_request_(false), retry_loan_(false) {}
   bool hello_ :1;
   bool welcome_ :1;
   bool begin_ :1;
@@ -1959,6 +2067,8 @@
   bool view_question_ :1;
   bool view_answer_ :1;
   bool busy_ :1;
+  bool retry_loan_request_ :1;
+  bool retry_loan_ :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1994,6 +2104,8 @@
   view_question view_question_;
   view_answer view_answer_;
   config_busy busy_;
+  retry_loan_request retry_loan_request_;
+  retry_loan retry_loan_;
 
   _frame__isset __isset;
 
@@ -2041,6 +2153,10 @@
 
   void __set_busy_(const config_busy& val);
 
+  void __set_retry_loan_request_(const retry_loan_request& val);
+
+  void __set_retry_loan_(const retry_loan& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_ != rhs.__isset.hello_)
@@ -2131,6 +2247,14 @@
       return false;
     else if (__isset.busy_ && !(busy_ == rhs.busy_))
       return false;
+    if (__isset.retry_loan_request_ != rhs.__isset.retry_loan_request_)
+      return false;
+    else if (__isset.retry_loan_request_ && !(retry_loan_request_ == rhs.retry_loan_request_))
+      return false;
+    if (__isset.retry_loan_ != rhs.__isset.retry_loan_)
+      return false;
+    else if (__isset.retry_loan_ && !(retry_loan_ == rhs.retry_loan_))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
