--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -118,6 +118,9 @@
     // Sets the limits in force from now on.
     void set_limits(net::caller_limits limits) { limits_ = limits; }
 
+    // Begins a planned stop of the server.
+    void close_after_responses() { server_->close_after_responses(); }
+
     // Returns the number of requests that have a handler.
     std::size_t open_exchanges() const { return server_->open_exchanges(); }
 
@@ -365,9 +368,15 @@
           "[net][contract]") {
     constexpr std::size_t body_bytes = 300'000;
     const std::string part(body_bytes / 2, 'x');
+    const bool stopping = GENERATE(false, true);
+    INFO((stopping ? "the server stops" : "the caller requests it"));
     server_side side(respond_done, body_handling::ignore);
-    side.send_request("POST /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: " +
-                      std::to_string(body_bytes) + "\r\n\r\n" + part);
+    if (stopping) {
+        side.close_after_responses();
+    }
+    side.send_request("POST /x HTTP/1.1\r\nhost: h\r\n" +
+                      std::string(stopping ? "" : "connection: close\r\n") +
+                      "content-length: " + std::to_string(body_bytes) + "\r\n\r\n" + part);
     side.serve();
     side.send_request(part);
     side.serve();
