Find a live owner of quota among eight ranked hosts, side by side

Cause: an organisation had three ranked owners. With 40% of the fleet frozen behind open links, one in sixteen had none left; every host asked the three one after another (150 ms each) and then lived on its own share of the rate.

Change: eight hosts are ranked (none left with half of the fleet lost: 1 in 256). A requester whose question is not answered within 40 ms checks the other owners side by side, and tells those that rank later that an owner is silent (optional field owner_silent): they check the owners before them and begin to act as soon as none replies, without waiting for a request. A reply of the new owner says when it grants (optional field taking_over); requests wait for that and are refused at once if they cannot. At most three owners may decline in a row. Requests that waited for a takeover no longer count as overload, and a host takes over with a quarter of the tolerance instead of a tenth. Handover delay, silent share and what a stall ends are as before. Silent hosts are probed less and less often, except those whose place this host has taken. Which host replies is known in one place (quota_peers); the owner's side has its own source. An old process ranks three owners and ignores the new fields; side by side, one that ranks later may be asked by a new process and decides as before.

--- a/src/control/fleet_quota.h
+++ b/src/control/fleet_quota.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "control/peer_sender.h"
 #include "control/quota.h"
 #include "control/quota_events.h"
+#include "control/quota_peers.h"
 #include "policy/quota.h"
 #include "wire/gen/fleet_types.h"
 
@@ -69,11 +71,15 @@
         std::int64_t pending_request_id_ = 0;
         std::size_t owner_rank_ = 0;
         base::instant requested_at_{};
+        // The other owners were checked since then.
+        bool others_checked_ = false;
+        // Owners in a row that replied that they do not grant.
+        std::size_t declined_ = 0;
         // No further token request is sent before this time.
         base::instant retry_at_{};
-        // Last use of the host's own share, and the beginning of the time without an owner in which
-        // it lies. An owner that grants ends that time.
-        base::instant own_share_used_at_{};
+        // Last time at which no owner granted tokens, and the beginning of the time without an
+        // owner in which it lies. An owner that grants ends that time.
+        base::instant without_owner_at_{};
         base::instant without_owner_since_{};
         // What kept the last request for tokens from getting all of them.
         quota_refusal_cause missing_cause_ = quota_refusal_cause::owner_limit;
@@ -82,40 +88,29 @@
     // A request for tokens that this host passed on for a host that did not reach the owner.
     struct relayed_request {
         std::string requester_;
+        std::string owner_;
         wire::lease_request request_;
         base::instant relayed_at_{};
     };
 
-    // A request for tokens, or a probe, to which a host must reply.
-    struct question {
-        std::string host_;
-        std::string organisation_;
-        base::instant asked_at_{};
-        base::instant reply_due_at_{};
-    };
-
-    // A host with an open link that left a question unanswered.
-    struct unresponsive_host {
-        // The organisation for which it was asked.
-        std::string organisation_;
-        base::instant probed_at_{};
-    };
-
     wire::lease_grant grant(const wire::lease_request& request, const std::string& requester);
     policy::quota_owner& find_or_add_owner(const std::string& organisation,
                                            const policy::quota_limit& limit);
     bool relay(const wire::lease_request& request, const std::string& requester);
     bool relay_grant(const wire::lease_grant& grant);
     void answer_overdue_relays();
-    void ask(const std::string& host, const wire::lease_request& request);
-    void probe(const std::string& host, const std::string& organisation);
-    void record_response(const std::string& host, base::instant asked_until);
-    void check_questions();
-    bool responds(const std::string& host) const;
+    void check_higher_ranks(const std::string& organisation, const std::string& requester);
+    std::set<std::string> replaced_owners();
+    void begin_takeovers();
     void notice_stall();
     policy::quota_limit limit_of(const std::string& organisation) const;
     void request_tokens(const std::string& organisation, organisation_state& state);
     void request_tokens_from_rank(const std::string& organisation, organisation_state& state);
+    void request_tokens_again(const std::string& organisation, organisation_state& state);
+    void check_other_owners(const std::string& organisation, organisation_state& state);
+    void on_declined(const std::string& organisation, organisation_state& state,
+                     const wire::lease_grant& grant);
+    static bool record_no_owner(organisation_state& state, base::instant now);
     void grant_from_own_share(const std::string& organisation, organisation_state& state);
     void on_tokens_granted(const std::string& organisation, organisation_state& state,
                            const policy::quota_grant& grant);
@@ -132,6 +127,7 @@
     const base::runtime_clock& clock_;
     const configuration& configuration_;
     peer_sender& peers_;
+    quota_peers quota_peers_;
     std::string host_;
     policy::quota_tolerance tolerance_;
     // Time of construction. An owner whose tokens are requested for the first time counts as acting
@@ -146,9 +142,9 @@
     std::unordered_map<std::int64_t, std::string> pending_organisations_;
     // By the number that this host gave the request.
     std::unordered_map<std::int64_t, relayed_request> relayed_requests_;
-    // By the number that this host gave the question.
-    std::unordered_map<std::int64_t, question> questions_;
-    std::unordered_map<std::string, unresponsive_host> unresponsive_;
+    // Organisations of which an owner that ranks before this host is silent to a requester, with
+    // the time at which that was found last.
+    std::unordered_map<std::string, base::instant> silent_to_requester_;
     // Organisations whose tokens this host grants to the fleet.
     std::unordered_map<std::string, policy::quota_owner> owned_;
     // This host's own share of each organisation's rate, used while no owner can be reached or none
@@ -157,7 +153,6 @@
     // Names of all hosts that are not leaving.
     std::vector<std::string> hosts_;
     mutable std::unordered_map<std::string, std::vector<std::string>> ranked_owners_;
-    std::int64_t next_request_id_ = 1;
     quota_counters counters_;
     quota_observer* observer_ = nullptr;
 };
--- a/src/control/quota_events.h
+++ b/src/control/quota_events.h
@@ -18,12 +18,14 @@
     owner_limit,
     // No owner granted tokens, and this host's own share of the rate had none for it.
     own_share,
+    // An owner had begun to act and granted nothing yet.
+    handover,
     // The request for tokens had no reply yet when the request had waited as long as it may.
     no_reply,
 };
 
 // Number of values of quota_refusal_cause.
-inline constexpr std::size_t quota_refusal_cause_count = 3;
+inline constexpr std::size_t quota_refusal_cause_count = 4;
 
 std::string_view to_text(quota_refusal_cause cause);
 
--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -51,12 +51,15 @@
 constexpr double unused_tolerance_share = 0.5;
 
 // Share of the tolerance with which a host begins to act: requests have waited for an owner.
-constexpr double takeover_tolerance_share = 0.1;
+constexpr double takeover_tolerance_share = 0.25;
 
 // Part of its share that a host grants while an owner that ranks before it is silent but not yet
 // known to be lost.
 constexpr double silent_owner_share_ratio = 0.75;
 
+// Time for which requests wait until a host has taken over from a lost owner.
+constexpr double takeover_wait_s = 1;
+
 // Tokens requested per second below which an organisation's demand is too low to tell from chance.
 constexpr double min_overload_rate = 5;
 
@@ -69,12 +72,15 @@
 }
 
 // Returns the delay after which to request tokens again. It is zero unless far more tokens are
-// requested than the rate allows; requesting again soon would then only add load.
-base::duration overload_retry_delay(const quota_owner& owner) {
+// requested than the rate allows; requesting again soon would then only add load. Requests
+// that waited for the owner to take over are no such demand.
+base::duration overload_retry_delay(const quota_owner& owner, base::instant now) {
     constexpr double max_excess = 1.3;
     constexpr double max_delay_s = 2;
     const double rate = std::max(owner.bucket_.rate_, min_overload_rate);
-    const double excess = owner.requested_rate_ / rate;
+    const double waited = rate * takeover_wait_s / demand_averaging_s *
+                          std::exp(-to_seconds(now - owner.grants_from_) / demand_averaging_s);
+    const double excess = (owner.requested_rate_ - waited) / rate;
     if (excess <= max_excess) {
         return {};
     }
@@ -196,8 +202,8 @@
             left || owner.recent_grants_.empty()
                 ? base::duration::zero()
                 : owner.recent_grants_.front().granted_at_ + limit.tolerance_.window_ - now;
-        grant.retry_after_ =
-            std::max({wait_for_token(owner.bucket_), overload_retry_delay(owner), window_wait});
+        grant.retry_after_ = std::max(
+            {wait_for_token(owner.bucket_), overload_retry_delay(owner, now), window_wait});
     }
     return grant;
 }
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -21,9 +21,9 @@
 
 namespace dandelionridge::policy {
 
-// Number of ranked hosts from which an organisation's tokens are requested before a host uses its
-// own share.
-inline constexpr std::size_t max_ranked_owners = 3;
+// Number of ranked hosts that may act as an organisation's owner. With half of the fleet lost, one
+// organisation in 256 has none left.
+inline constexpr std::size_t max_ranked_owners = 8;
 
 // Time for which a host that begins to act grants nothing: until all hosts have an open link again,
 // another host may still act and receive requests for tokens.
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -281,6 +281,9 @@
     3: i32 tokens
     // The sender passes on the request of a host that may not reach the owner itself.
     4: optional bool relayed
+    // An owner that ranks before the receiver has not replied to the sender: the receiver, which
+    // may have to take over, checks the owners that rank before it.
+    5: optional bool owner_silent
 }
 
 // Reply to lease_request. Grants tokens that the requester may use for a short time.
@@ -292,6 +295,8 @@
     4: i32 retry_after_ms
     // False if the sender does not act as the owner of the organisation's quota.
     5: bool granting
+    // The sender has begun to act as the owner and grants tokens after retry_after_ms.
+    6: optional bool taking_over
 }
 
 struct frame {
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -4558,6 +4558,11 @@
   this->relayed = val;
 __isset.relayed = true;
 }
+
+void lease_request::__set_owner_silent(const bool val) {
+  this->owner_silent = val;
+__isset.owner_silent = true;
+}
 std::ostream& operator<<(std::ostream& out, const lease_request& obj)
 {
   obj.printTo(out);
@@ -4618,6 +4623,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->owner_silent);
+          this->__isset.owner_silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4652,6 +4665,11 @@
     xfer += oprot->writeBool(this->relayed);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.owner_silent) {
+    xfer += oprot->writeFieldBegin("owner_silent", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->owner_silent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4663,6 +4681,7 @@
   swap(a.organisation, b.organisation);
   swap(a.tokens, b.tokens);
   swap(a.relayed, b.relayed);
+  swap(a.owner_silent, b.owner_silent);
   swap(a.__isset, b.__isset);
 }
 
@@ -4671,6 +4690,7 @@
   organisation = other150.organisation;
   tokens = other150.tokens;
   relayed = other150.relayed;
+  owner_silent = other150.owner_silent;
   __isset = other150.__isset;
 }
 lease_request::lease_request(lease_request&& other151) noexcept {
@@ -4678,6 +4698,7 @@
   organisation = std::move(other151.organisation);
   tokens = other151.tokens;
   relayed = other151.relayed;
+  owner_silent = other151.owner_silent;
   __isset = other151.__isset;
 }
 lease_request& lease_request::operator=(const lease_request& other152) {
@@ -4685,6 +4706,7 @@
   organisation = other152.organisation;
   tokens = other152.tokens;
   relayed = other152.relayed;
+  owner_silent = other152.owner_silent;
   __isset = other152.__isset;
   return *this;
 }
@@ -4693,6 +4715,7 @@
   organisation = std::move(other153.organisation);
   tokens = other153.tokens;
   relayed = other153.relayed;
+  owner_silent = other153.owner_silent;
   __isset = other153.__isset;
   return *this;
 }
@@ -4703,6 +4726,7 @@
   out << ", " << "organisation=" << to_string(organisation);
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "relayed="; (__isset.relayed ? (out << to_string(relayed)) : (out << "<null>"));
+  out << ", " << "owner_silent="; (__isset.owner_silent ? (out << to_string(owner_silent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4730,6 +4754,11 @@
 void lease_grant::__set_granting(const bool val) {
   this->granting = val;
 }
+
+void lease_grant::__set_taking_over(const bool val) {
+  this->taking_over = val;
+__isset.taking_over = true;
+}
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj)
 {
   obj.printTo(out);
@@ -4798,6 +4827,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->taking_over);
+          this->__isset.taking_over = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4835,6 +4872,11 @@
   xfer += oprot->writeBool(this->granting);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.taking_over) {
+    xfer += oprot->writeFieldBegin("taking_over", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->taking_over);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4847,6 +4889,7 @@
   swap(a.tokens, b.tokens);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.granting, b.granting);
+  swap(a.taking_over, b.taking_over);
   swap(a.__isset, b.__isset);
 }
 
@@ -4856,6 +4899,7 @@
   tokens = other154.tokens;
   retry_after_ms = other154.retry_after_ms;
   granting = other154.granting;
+  taking_over = other154.taking_over;
   __isset = other154.__isset;
 }
 lease_grant::lease_grant(lease_grant&& other155) noexcept {
@@ -4864,6 +4908,7 @@
   tokens = other155.tokens;
   retry_after_ms = other155.retry_after_ms;
   granting = other155.granting;
+  taking_over = other155.taking_over;
   __isset = other155.__isset;
 }
 lease_grant& lease_grant::operator=(const lease_grant& other156) {
@@ -4872,6 +4917,7 @@
   tokens = other156.tokens;
   retry_after_ms = other156.retry_after_ms;
   granting = other156.granting;
+  taking_over = other156.taking_over;
   __isset = other156.__isset;
   return *this;
 }
@@ -4881,6 +4927,7 @@
   tokens = other157.tokens;
   retry_after_ms = other157.retry_after_ms;
   granting = other157.granting;
+  taking_over = other157.taking_over;
   __isset = other157.__isset;
   return *this;
 }
@@ -4892,6 +4939,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "granting=" << to_string(granting);
+  out << ", " << "taking_over="; (__isset.taking_over ? (out << to_string(taking_over)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -1795,11 +1795,12 @@
 std::ostream& operator<<(std::ostream& out, const view_answer& obj);
 
 typedef struct _lease_request__isset {
-  _lease_request__isset() : request(false), organisation(false), tokens(false), relayed(false) {}
+  _lease_request__isset() : request(false), organisation(false), tokens(false), relayed(false), owner_silent(false) {}
   bool request :1;
   bool organisation :1;
   bool tokens :1;
   bool relayed :1;
+  bool owner_silent :1;
 } _lease_request__isset;
 
 class lease_request : public virtual ::apache::thrift::TBase {
@@ -1813,7 +1814,8 @@
                 : request(0),
                   organisation(),
                   tokens(0),
-                  relayed(0) {
+                  relayed(0),
+                  owner_silent(0) {
   }
 
   virtual ~lease_request() noexcept;
@@ -1821,6 +1823,7 @@
   std::string organisation;
   int32_t tokens;
   bool relayed;
+  bool owner_silent;
 
   _lease_request__isset __isset;
 
@@ -1832,6 +1835,8 @@
 
   void __set_relayed(const bool val);
 
+  void __set_owner_silent(const bool val);
+
   bool operator == (const lease_request & rhs) const
   {
     if (!(request == rhs.request))
@@ -1844,6 +1849,10 @@
       return false;
     else if (__isset.relayed && !(relayed == rhs.relayed))
       return false;
+    if (__isset.owner_silent != rhs.__isset.owner_silent)
+      return false;
+    else if (__isset.owner_silent && !(owner_silent == rhs.owner_silent))
+      return false;
     return true;
   }
   bool operator != (const lease_request &rhs) const {
@@ -1863,12 +1872,13 @@
 std::ostream& operator<<(std::ostream& out, const lease_request& obj);
 
 typedef struct _lease_grant__isset {
-  _lease_grant__isset() : request(false), organisation(false), tokens(false), retry_after_ms(false), granting(false) {}
+  _lease_grant__isset() : request(false), organisation(false), tokens(false), retry_after_ms(false), granting(false), taking_over(false) {}
   bool request :1;
   bool organisation :1;
   bool tokens :1;
   bool retry_after_ms :1;
   bool granting :1;
+  bool taking_over :1;
 } _lease_grant__isset;
 
 class lease_grant : public virtual ::apache::thrift::TBase {
@@ -1883,7 +1893,8 @@
                 organisation(),
                 tokens(0),
                 retry_after_ms(0),
-                granting(0) {
+                granting(0),
+                taking_over(0) {
   }
 
   virtual ~lease_grant() noexcept;
@@ -1892,6 +1903,7 @@
   int32_t tokens;
   int32_t retry_after_ms;
   bool granting;
+  bool taking_over;
 
   _lease_grant__isset __isset;
 
@@ -1905,6 +1917,8 @@
 
   void __set_granting(const bool val);
 
+  void __set_taking_over(const bool val);
+
   bool operator == (const lease_grant & rhs) const
   {
     if (!(request == rhs.request))
@@ -1917,6 +1931,10 @@
       return false;
     if (!(granting == rhs.granting))
       return false;
+    if (__isset.taking_over != rhs.__isset.taking_over)
+      return false;
+    else if (__isset.taking_over && !(taking_over == rhs.taking_over))
+      return false;
     return true;
   }
   bool operator != (const lease_grant &rhs) const {
