Share what one process finds of silent hosts with all others

Cause: each process found a frozen host only by requests of its own that it lost.

Change: policy/membership keeps one view of each host: alive, suspected or silent, from unanswered pings of this process and the reports of others (SWIM's suspicion and refutation, Lifeguard's local health). A report makes a host suspected and has it pinged at once; a second reporter or an own unanswered ping makes it silent. A frame heard after the silence began refutes the report, and a process that stood still, or finds more than half of its peers silent, reports nothing. Notices go to three random peers each 50 ms, as long as there is news, at most log2(n) + 2 times an entry and 1 KB/s with a burst of 16 KB. The choice of targets and the reachability of quota owners ask the view; a link is lost after one unanswered ping if others agree. A list of silent hosts, counters and a histogram are in /status and /metrics, and one line a second in the log.

The test of the bytes by kind of frame has a frame of the new kind as well.

--- a/src/net/frame_traffic.cpp
+++ b/src/net/frame_traffic.cpp
@@ -38,7 +38,10 @@
     if (is_configuration_frame(frame)) {
         return frame_kind::configuration;
     }
-    return is_quota_frame(frame) ? frame_kind::quota : frame_kind::other;
+    if (is_quota_frame(frame)) {
+        return frame_kind::quota;
+    }
+    return frame.__isset.membership_ ? frame_kind::membership : frame_kind::other;
 }
 
 std::string_view to_text(frame_kind kind) {
@@ -51,6 +54,8 @@
             return "configuration";
         case frame_kind::quota:
             return "quota";
+        case frame_kind::membership:
+            return "membership";
         case frame_kind::other:
             break;
     }
--- a/src/net/frame_traffic.h
+++ b/src/net/frame_traffic.h
@@ -21,10 +21,12 @@
     // Rules, host lists and what peers know of them.
     configuration,
     quota,
+    // Reports on hosts that do not answer.
+    membership,
     other,
 };
 
-inline constexpr std::size_t frame_kind_count = 5;
+inline constexpr std::size_t frame_kind_count = 6;
 
 // Returns the kind of a frame.
 frame_kind kind_of(const wire::frame& frame);
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -255,7 +255,9 @@
     candidate.slots_ =
         target.slots_ > 0 ? target.slots_ : config::slots_of(rules, service, target.name_);
     candidate.warming_ = target.warming_;
-    candidate.disconnected_ = link != nullptr && (link->reconnecting() || link->suspected());
+    candidate.disconnected_ =
+        (link != nullptr && (link->reconnecting() || link->suspected())) ||
+        policy::state_of(dependencies_.members_, host.name_) != policy::member_state::alive;
     candidate.unreachable_ = link != nullptr && link->failing();
     const policy::stop_state stop = stop_state_of(host.name_);
     candidate.stopping_ = stop != policy::stop_state::none;
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -27,6 +27,7 @@
 #include "policy/departures.h"
 #include "policy/drain.h"
 #include "policy/host_stop.h"
+#include "policy/membership.h"
 #include "policy/response_memory.h"
 #include "policy/retry.h"
 
@@ -53,6 +54,7 @@
     const control::configuration& configuration_;
     control::quota_gate& quota_;
     link_pool& links_;
+    const policy::membership& members_;
     policy::response_memory& response_memory_;
     observe::metrics& metrics_;
     observe::event_log& events_;
--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -103,6 +103,36 @@
     }
 }
 
+void link_pool::check(const std::string& host) {
+    const auto found = current_links_.find(host);
+    if (found != current_links_.end()) {
+        found->second->check();
+    }
+}
+
+base::instant link_pool::last_heard(const std::string& host) const {
+    const auto found = current_links_.find(host);
+    return found == current_links_.end() ? base::instant{} : found->second->last_heard();
+}
+
+peer_link* link_pool::random_open_link(
+    const std::function<bool(const std::string& host)>& eligible) {
+    if (links_.empty()) {
+        return nullptr;
+    }
+    auto next = links_.begin();
+    std::advance(next, static_cast<std::ptrdiff_t>(base::random_below(random_, links_.size())));
+    for (std::size_t i = 0; i < std::min(max_checked_links, links_.size()); ++i) {
+        if (next->second->is_open() && eligible(next->second->peer())) {
+            return next->second.get();
+        }
+        if (++next == links_.end()) {
+            next = links_.begin();
+        }
+    }
+    return nullptr;
+}
+
 bool link_pool::is_reachable(const std::string& host) const {
     const auto found = current_links_.find(host);
     if (found == current_links_.end()) {
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -2,6 +2,7 @@
 // opened on demand. Links that are not kept open are removed when idle.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,15 @@
     // Returns the link to a host at its current address, creating it if there is none.
     peer_link& link_to(const config::host_entry& host);
 
+    // Pings that host at once if its link is open and none of its pings is outstanding.
+    void check(const std::string& host);
+
+    // Returns when the newest frame of that host arrived on its current link.
+    base::instant last_heard(const std::string& host) const;
+
+    // Returns an open link to a random host that is eligible, or null if a short search finds none.
+    peer_link* random_open_link(const std::function<bool(const std::string& host)>& eligible);
+
     // Returns the link to a host at its current address, or null if there is none.
     const peer_link* find(const config::host_entry& host) const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,11 +1,10 @@
 #include "node/node.h"
 
-#include <algorithm>
-#include <span>
 #include <utility>
 
 #include "base/random.h"
 #include "config/host_list_changes.h"
+#include "node/log_names.h"
 
 namespace dandelionridge::node {
 
@@ -20,8 +19,6 @@
 constexpr double bytes_per_megabit = 1'000'000.0 / 8;
 // The source of versions that were read from the platform, in events.
 constexpr const char* platform_source = "platform";
-// Maximum number of targets that one event names in each of its lists.
-constexpr std::size_t max_logged_names = 16;
 
 const char* to_text(control::offer_outcome outcome) {
     switch (outcome) {
@@ -37,18 +34,6 @@
     return "gap";
 }
 
-// Joins names for the log: at most max_logged_names, and the number of the others.
-std::string join_names(std::span<const std::string> names) {
-    std::string joined;
-    for (const std::string& name : names.first(std::min(names.size(), max_logged_names))) {
-        joined += joined.empty() ? name : "," + name;
-    }
-    if (names.size() > max_logged_names) {
-        joined += ",+" + std::to_string(names.size() - max_logged_names);
-    }
-    return joined;
-}
-
 std::int64_t generate_boot_id() {
     base::random_engine random = base::make_random_engine();
     return base::random_id(random);
@@ -124,6 +109,8 @@
     drain_timer_ = std::make_unique<net::timer>(*loop_);
     tick_timer_ = std::make_unique<net::timer>(*loop_);
     links_ = std::make_unique<link_pool>(*loop_, identity_, traffic_, events_, *this);
+    members_ = std::make_unique<member_view>(clock_, settings_.host_, configuration_, *links_,
+                                             events_, metrics_);
     auto created_target_proxy =
         target_proxy::create(*loop_, settings_, environment_.headers_, identity_, configuration_,
                              response_memory_, traffic_, events_, *this);
@@ -133,8 +120,8 @@
     target_proxy_ = std::move(*created_target_proxy);
     auto created_caller_proxy =
         caller_proxy::create({*loop_, settings_, environment_.headers_, identity_, configuration_,
-                              quota_, *links_, response_memory_, metrics_, events_,
-                              [this] { target_proxy_->record_failed_nested_call(); },
+                              quota_, *links_, members_->known(), response_memory_, metrics_,
+                              events_, [this] { target_proxy_->record_failed_nested_call(); },
                               [this] { return target_proxy_->repeat_share(); }});
     if (!created_caller_proxy) {
         return tl::unexpected(created_caller_proxy.error());
@@ -146,6 +133,7 @@
     configuration_.on_accepted([this](control::config_value_kind kind) { on_accepted(kind); });
     loop_->set_stall_handler([this] {
         quota_.on_stall();
+        members_->on_stall();
         record("stalled", {});
     });
     open_feed();
@@ -193,6 +181,7 @@
 void node::tick() {
     gossip_.tick(feed_->platform_available());
     quota_.tick();
+    members_->tick();
     tick_timer_->start(tick_interval, [this] { tick(); });
 }
 
@@ -200,6 +189,7 @@
     gossip_.on_accepted(kind);
     if (kind == control::config_value_kind::hosts) {
         gossip_.on_hosts_changed();
+        members_->on_hosts_changed();
         links_->update_hosts(*configuration_.hosts());
         quota_.on_hosts_changed();
         caller_proxy_->expire_stale_targets();
@@ -285,11 +275,24 @@
 void node::on_peer_versions(const std::string& peer, const wire::config_versions& versions,
                             const control::frame_sender& reply) {
     links_->on_peer_connected(peer);
+    members_->on_heard(peer, 0, clock_.now());
     gossip_.on_versions(peer, versions, reply);
 }
 
-void node::on_peer_silent(const std::string& /*peer*/) {
-    links_->check_links();
+void node::on_peer_unanswered(const std::string& peer, base::instant sent_at, bool link_silent) {
+    members_->on_unanswered(peer, sent_at, link_silent);
+}
+
+void node::on_peer_heard(const std::string& peer, std::int64_t boot, base::instant heard_at) {
+    members_->on_heard(peer, boot, heard_at);
+}
+
+bool node::is_known_silent(const std::string& peer) const {
+    return members_->is_silent(peer);
+}
+
+bool node::reachable(const std::string& host) const {
+    return links_->is_reachable(host) && !members_->is_silent(host);
 }
 
 void node::on_control_frame(const std::string& peer, wire::frame&& frame,
@@ -313,6 +316,8 @@
         }
     } else if (frame.__isset.lease_grant_) {
         quota_.on_grant(frame.lease_grant_);
+    } else if (frame.__isset.membership_) {
+        members_->on_notice(peer, frame.membership_);
     }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,6 +17,7 @@
 #include "node/caller_proxy.h"
 #include "node/environment.h"
 #include "node/link_pool.h"
+#include "node/member_view.h"
 #include "node/quota_log.h"
 #include "node/target_proxy.h"
 #include "observe/event.h"
@@ -51,11 +52,14 @@
     void on_control_frame(const std::string& peer, wire::frame&& frame,
                           const control::frame_sender& reply) override;
     void on_peer_draining(const std::string& peer, bool draining) override;
-    void on_peer_silent(const std::string& peer) override;
+    void on_peer_unanswered(const std::string& peer, base::instant sent_at,
+                            bool link_silent) override;
+    void on_peer_heard(const std::string& peer, std::int64_t boot, base::instant heard_at) override;
+    bool is_known_silent(const std::string& peer) const override;
     void on_target_report(const wire::target_report& report) override;
 
     void send(const std::string& host, const wire::frame& frame) override;
-    bool reachable(const std::string& host) const override { return links_->is_reachable(host); }
+    bool reachable(const std::string& host) const override;
 
 private:
     node(const base::runtime_clock& clock, config::settings settings, environment environment);
@@ -101,6 +105,7 @@
     net::frame_traffic traffic_;
     std::unique_ptr<net::event_loop> loop_;
     std::unique_ptr<link_pool> links_;
+    std::unique_ptr<member_view> members_;
     std::unique_ptr<target_proxy> target_proxy_;
     std::unique_ptr<caller_proxy> caller_proxy_;
     std::unique_ptr<net::http_server> admin_;
--- a/src/node/node_admin.cpp
+++ b/src/node/node_admin.cpp
@@ -57,6 +57,27 @@
     return counter;
 }
 
+// Returns the hosts that may not answer, with the evidence for it.
+nlohmann::json make_member_list(const policy::membership& known, base::instant now) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [name, host] : known.members_) {
+        if (host.state_ == policy::member_state::alive) {
+            continue;
+        }
+        nlohmann::json reporters = nlohmann::json::array();
+        for (const policy::suspicion_report& report : host.reports_) {
+            reporters.push_back(report.reporter_);
+        }
+        list.push_back({{"host", name},
+                        {"boot_tag", host.boot_},
+                        {"state", policy::to_text(host.state_)},
+                        {"since_ms", base::whole_ms(now - host.changed_at_)},
+                        {"unanswered", host.unanswered_since_.has_value()},
+                        {"reporters", std::move(reporters)}});
+    }
+    return list;
+}
+
 }  // namespace
 
 base::result<bool> node::open_admin() {
@@ -127,6 +148,8 @@
         {"links", links_->size()},
         {"links_open", links_->open_count()},
         {"target_connections_opened", target_proxy_->connections_opened()},
+        {"silent_host_count", members_->count_of(policy::member_state::silent)},
+        {"suspected_hosts", make_member_list(members_->known(), clock_.now())},
         {"calls", caller_proxy_->open_calls()},
         {"platform_calls", feed_->request_count()},
         {"guard",
@@ -150,6 +173,8 @@
         {"dandelionridge_guard_attempts", static_cast<double>(target_proxy_->open_attempts())},
         {"dandelionridge_guard_started", static_cast<double>(counters.started_)},
         {"dandelionridge_links", static_cast<double>(links_->size())},
+        {"dandelionridge_hosts_silent",
+         static_cast<double>(members_->count_of(policy::member_state::silent))},
         {"dandelionridge_links_open", static_cast<double>(links_->open_count())},
         {"dandelionridge_response_held_bytes", static_cast<double>(response_memory_.held_)},
         {"dandelionridge_response_limit_bytes", static_cast<double>(response_memory_.limit_)},
@@ -165,7 +190,8 @@
                            "Bytes queued for peers, by kind of frame.", traffic_.sent_),
          make_byte_counter("dandelionridge_peer_received_bytes_total",
                            "Bytes received from peers, by kind of frame.", traffic_.received_),
-         make_token_counter(quota_.counters()), make_quota_refusal_counter(quota_.counters())});
+         members_->report_counter(), make_token_counter(quota_.counters()),
+         make_quota_refusal_counter(quota_.counters())});
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -154,10 +154,14 @@
 void peer_link::connect() {
     policy::allocate_link_number(sent_attempts_);
     socket_ = net::frame_socket::connect(loop_, address_, *this, traffic_);
+    connect_began_at_ = loop_.clock().now();
     connect_timer_.start(connect_timeout, [this] {
         const bool paused = socket_->is_outdated();
         handle_link_lost(paused ? net::closed_by_pause
                                 : "no welcome frame within the connect timeout");
+        if (!paused) {
+            listener_.on_peer_unanswered(peer_, connect_began_at_, false);
+        }
     });
 }
 
@@ -265,6 +269,7 @@
     if (&socket != socket_.get()) {
         return;
     }
+    last_heard_ = loop_.clock().now();
     if (frame.__isset.welcome_) {
         on_welcome(frame.welcome_);
         return;
@@ -272,9 +277,17 @@
     if (!is_open()) {
         return;
     }
+    if (reports_next_frame_) {
+        report_heard();
+    }
     dispatch(frame);
 }
 
+void peer_link::report_heard() {
+    reports_next_frame_ = false;
+    listener_.on_peer_heard(peer_, sent_attempts_.current_link_->target_proxy_boot_, last_heard_);
+}
+
 void peer_link::on_welcome(const wire::welcome& welcome) {
     if (is_open()) {
         return;
@@ -310,6 +323,7 @@
     for (attempt_events* listener : unknown_listeners) {
         listener->on_unknown();
     }
+    report_heard();
     listener_.on_peer_draining(peer_, welcome.draining);
     if (welcome.__isset.report) {
         listener_.on_target_report(welcome.report);
@@ -370,13 +384,21 @@
 
 void peer_link::check() {
     end_outdated_link();
-    if (is_open() && !pinging_) {
+    if (!is_open()) {
+        return;
+    }
+    reports_next_frame_ = true;
+    if (!policy::awaits_pong(liveness_)) {
         pinging_ = true;
-        control_sent_ = true;
-        on_ping_due();
+        send_ping(socket_->bytes_received());
     }
 }
 
+void peer_link::send_notice(const wire::frame& frame) {
+    end_outdated_link();
+    send(frame);
+}
+
 bool peer_link::suspected() const {
     return is_open() && policy::is_suspected(liveness_, socket_->bytes_received());
 }
@@ -388,9 +410,12 @@
     }
     const std::uint64_t received_bytes = socket_->bytes_received();
     policy::record_received(liveness_, received_bytes);
-    if (policy::is_silent(liveness_)) {
-        handle_link_lost(peer_silent);
-        listener_.on_peer_silent(peer_);
+    if (reports_next_frame_ && !policy::awaits_pong(liveness_)) {
+        // A part of a frame has arrived.
+        last_heard_ = loop_.clock().now();
+        report_heard();
+    }
+    if (policy::awaits_pong(liveness_) && !check_answer()) {
         return;
     }
     if (attempts_.empty() && !control_sent_ && !policy::awaits_pong(liveness_)) {
@@ -398,6 +423,30 @@
         return;
     }
     control_sent_ = false;
+    send_ping(received_bytes);
+}
+
+// Reports that a ping was unanswered for a whole interval. Returns false if the link is lost: the
+// peer left several unanswered, or others have found it silent as well.
+bool peer_link::check_answer() {
+    const bool link_silent = policy::is_silent(liveness_);
+    const base::instant sent_at = unanswered_since_;
+    reports_next_frame_ = true;
+    listener_.on_peer_unanswered(peer_, sent_at, link_silent);
+    if (!is_open()) {
+        return false;
+    }
+    if (link_silent || listener_.is_known_silent(peer_)) {
+        handle_link_lost(peer_silent);
+        return false;
+    }
+    return true;
+}
+
+void peer_link::send_ping(std::uint64_t received_bytes) {
+    if (!policy::awaits_pong(liveness_)) {
+        unanswered_since_ = loop_.clock().now();
+    }
     wire::frame frame;
     frame.__isset.ping_ = true;
     frame.ping_.nonce = policy::record_ping(liveness_, received_bytes);
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -87,8 +87,16 @@
                                   const control::frame_sender& reply) = 0;
     // The peer reported whether it is draining.
     virtual void on_peer_draining(const std::string& peer, bool draining) = 0;
-    // The link to the peer was given up because the peer did not answer.
-    virtual void on_peer_silent(const std::string& peer) = 0;
+    // The peer left a ping or a hello frame sent at `sent_at` unanswered. `link_silent`: the link
+    // to it is lost for that reason.
+    virtual void on_peer_unanswered(const std::string& peer, base::instant sent_at,
+                                    bool link_silent) = 0;
+    // A frame of the peer arrived at `heard_at`, which may refute that it does not answer. A boot
+    // of 0 is unknown.
+    virtual void on_peer_heard(const std::string& peer, std::int64_t boot,
+                               base::instant heard_at) = 0;
+    // Returns true if the peer is known to be silent also by what other hosts report.
+    virtual bool is_known_silent(const std::string& peer) const = 0;
     // The peer reported on a target of its host.
     virtual void on_target_report(const wire::target_report& report) = 0;
 };
@@ -141,10 +149,16 @@
     // at once until a link is open.
     bool failing() const { return failures_ > 1; }
 
-    // Sends a ping if the link is open and quiet, so that a silent peer is found before a request
-    // is sent to it.
+    // Sends a ping if the link is open and none awaits its answer, so that a silent peer is found
+    // before a request is sent to it.
     void check();
 
+    // Sends a frame that needs no reply if the link is open.
+    void send_notice(const wire::frame& frame);
+
+    // Returns the time at which the newest frame arrived on a link to the peer.
+    base::instant last_heard() const { return last_heard_; }
+
     // Returns true if the peer left a ping unanswered for a whole interval and has sent nothing
     // since.
     bool suspected() const;
@@ -177,6 +191,9 @@
     void send_resolve(const policy::resolve_request& request);
     void start_pings();
     void on_ping_due();
+    void send_ping(std::uint64_t received_bytes);
+    bool check_answer();
+    void report_heard();
     void dispatch(wire::frame& frame);
     attempt_events* find_listener(const wire::attempt_ref& ref);
     attempt_events* take_listener(const wire::attempt_ref& ref);
@@ -203,6 +220,12 @@
     // State of the pings on the open link.
     policy::link_liveness liveness_;
     base::instant last_used_{};
+    base::instant last_heard_{};
+    // When the present connect began, and when the oldest unanswered ping was sent.
+    base::instant connect_began_at_{};
+    base::instant unanswered_since_{};
+    // The peer may be suspected: the listener is to learn of its next frame.
+    bool reports_next_frame_ = false;
     // A control frame, to which a reply may be expected, was sent since the last ping: the next
     // ping is due even if no attempt is outstanding.
     bool control_sent_ = false;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -50,10 +50,18 @@
     return cumulative_count;
 }
 
+void render_histogram(std::ostream& out, const char* name, const char* help,
+                      const time_histogram& histogram, double sum_s) {
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << " histogram\n";
+    const std::uint64_t count = render_buckets(out, name, histogram);
+    out << name << "_sum " << sum_s << '\n' << name << "_count " << count << '\n';
+}
+
 }  // namespace
 
 struct metrics::histograms {
     time_histogram response_time_ = make_time_histogram();
+    time_histogram detection_time_ = make_time_histogram();
 };
 
 metrics::metrics() : histograms_(std::make_unique<histograms>()) {}
@@ -67,6 +75,12 @@
     histograms_->response_time_(seconds);
 }
 
+void metrics::count_detection(base::duration silent_for) {
+    const double seconds = std::chrono::duration<double>(silent_for).count();
+    detection_seconds_ += seconds;
+    histograms_->detection_time_(seconds);
+}
+
 void metrics::count_refusal(const std::string& outcome, const std::string& reason) {
     ++refusals_[{outcome, reason}];
 }
@@ -86,14 +100,12 @@
         out << refusals_name << "{outcome=\"" << labels.outcome_ << "\",reason=\"" << labels.reason_
             << "\"} " << count << '\n';
     }
-    constexpr const char* response_time_name = "dandelionridge_answer_seconds";
-    out << "# HELP " << response_time_name
-        << " Time from request to the end of a whole answer.\n# TYPE " << response_time_name
-        << " histogram\n";
-    const std::uint64_t count =
-        render_buckets(out, response_time_name, histograms_->response_time_);
-    out << response_time_name << "_sum " << response_seconds_ << '\n'
-        << response_time_name << "_count " << count << '\n';
+    render_histogram(out, "dandelionridge_answer_seconds",
+                     "Time from request to the end of a whole answer.", histograms_->response_time_,
+                     response_seconds_);
+    render_histogram(out, "dandelionridge_detection_seconds",
+                     "Time from the first sign of a host's silence to the finding.",
+                     histograms_->detection_time_, detection_seconds_);
     for (const labelled_counter& counter : counters) {
         render_labelled(out, counter);
     }
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -56,6 +56,9 @@
     // Counts a response that was aborted, so that the caller sees that it is incomplete.
     void count_broken_response() { ++broken_responses_; }
 
+    // Counts a host that was found silent `silent_for` after its first sign of silence.
+    void count_detection(base::duration silent_for);
+
     // Returns all metrics and the given ones of other modules as text.
     std::string render(const std::vector<gauge>& gauges,
                        const std::vector<labelled_counter>& counters) const;
@@ -69,6 +72,8 @@
     std::uint64_t broken_responses_ = 0;
     // Sum of the times that count_response() was given, in seconds.
     double response_seconds_ = 0;
+    // Sum of the times that count_detection() was given, in seconds.
+    double detection_seconds_ = 0;
     std::map<refusal_labels, std::uint64_t> refusals_;
     std::unique_ptr<histograms> histograms_;
 };
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -294,6 +294,30 @@
     5: bool granting
 }
 
+enum host_state {
+    alive = 1
+    // The host left a ping of the reporter unanswered.
+    suspected = 2
+    // As suspected, and the sender knows of a second source.
+    silent = 3
+}
+
+struct host_notice {
+    1: string host
+    // Short form of the boot that the notice is about, from 1.
+    2: i32 boot_tag
+    3: host_state state
+    // Time since the beginning of the silence or, if the host is alive, since it was heard.
+    4: i32 age_ms
+    // The host that found it, if it is not the sender.
+    5: optional string reporter
+}
+
+// What the sender knows of other hosts. Needs no reply.
+struct membership_notice {
+    1: list<host_notice> hosts
+}
+
 struct frame {
     1: optional hello hello_
     2: optional welcome welcome_
@@ -317,4 +341,5 @@
     20: optional view_question view_question_
     21: optional view_answer view_answer_
     22: optional config_busy busy_
+    23: optional membership_notice membership_
 }
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -159,6 +159,37 @@
   }
 }
 
+int _khost_stateValues[] = {
+  alive,
+  suspected,
+  silent
+};
+const char* _khost_stateNames[] = {
+  "alive",
+  "suspected",
+  "silent"
+};
+const std::map<int, const char*> _host_state_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _khost_stateValues, _khost_stateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const host_state val) {
+  std::map<int, const char*>::const_iterator it = _host_state_VALUES_TO_NAMES.find(val);
+  if (it != _host_state_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const host_state val) {
+  std::map<int, const char*>::const_iterator it = _host_state_VALUES_TO_NAMES.find(val);
+  if (it != _host_state_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 attempt_ref::~attempt_ref() noexcept {
 }
@@ -4896,6 +4927,320 @@
 }
 
 
+host_notice::~host_notice() noexcept {
+}
+
+
+void host_notice::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void host_notice::__set_boot_tag(const int32_t val) {
+  this->boot_tag = val;
+}
+
+void host_notice::__set_state(const host_state val) {
+  this->state = val;
+}
+
+void host_notice::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void host_notice::__set_reporter(const std::string& val) {
+  this->reporter = val;
+__isset.reporter = true;
+}
+std::ostream& operator<<(std::ostream& out, const host_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t host_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->boot_tag);
+          this->__isset.boot_tag = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast158;
+          xfer += iprot->readI32(ecast158);
+          this->state = static_cast<host_state>(ecast158);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reporter);
+          this->__isset.reporter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t host_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("host_notice");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot_tag", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->boot_tag);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.reporter) {
+    xfer += oprot->writeFieldBegin("reporter", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->reporter);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(host_notice &a, host_notice &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.boot_tag, b.boot_tag);
+  swap(a.state, b.state);
+  swap(a.age_ms, b.age_ms);
+  swap(a.reporter, b.reporter);
+  swap(a.__isset, b.__isset);
+}
+
+host_notice::host_notice(const host_notice& other159) {
+  host = other159.host;
+  boot_tag = other159.boot_tag;
+  state = other159.state;
+  age_ms = other159.age_ms;
+  reporter = other159.reporter;
+  __isset = other159.__isset;
+}
+host_notice::host_notice(host_notice&& other160) noexcept {
+  host = std::move(other160.host);
+  boot_tag = other160.boot_tag;
+  state = other160.state;
+  age_ms = other160.age_ms;
+  reporter = std::move(other160.reporter);
+  __isset = other160.__isset;
+}
+host_notice& host_notice::operator=(const host_notice& other161) {
+  host = other161.host;
+  boot_tag = other161.boot_tag;
+  state = other161.state;
+  age_ms = other161.age_ms;
+  reporter = other161.reporter;
+  __isset = other161.__isset;
+  return *this;
+}
+host_notice& host_notice::operator=(host_notice&& other162) noexcept {
+  host = std::move(other162.host);
+  boot_tag = other162.boot_tag;
+  state = other162.state;
+  age_ms = other162.age_ms;
+  reporter = std::move(other162.reporter);
+  __isset = other162.__isset;
+  return *this;
+}
+void host_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "host_notice(";
+  out << "host=" << to_string(host);
+  out << ", " << "boot_tag=" << to_string(boot_tag);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "reporter="; (__isset.reporter ? (out << to_string(reporter)) : (out << "<null>"));
+  out << ")";
+}
+
+
+membership_notice::~membership_notice() noexcept {
+}
+
+
+void membership_notice::__set_hosts(const std::vector<host_notice> & val) {
+  this->hosts = val;
+}
+std::ostream& operator<<(std::ostream& out, const membership_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t membership_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->hosts.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
+            {
+              xfer += this->hosts[_i167].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t membership_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("membership_notice");
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<host_notice> ::const_iterator _iter168;
+    for (_iter168 = this->hosts.begin(); _iter168 != this->hosts.end(); ++_iter168)
+    {
+      xfer += (*_iter168).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(membership_notice &a, membership_notice &b) {
+  using ::std::swap;
+  swap(a.hosts, b.hosts);
+  swap(a.__isset, b.__isset);
+}
+
+membership_notice::membership_notice(const membership_notice& other169) {
+  hosts = other169.hosts;
+  __isset = other169.__isset;
+}
+membership_notice::membership_notice(membership_notice&& other170) noexcept {
+  hosts = std::move(other170.hosts);
+  __isset = other170.__isset;
+}
+membership_notice& membership_notice::operator=(const membership_notice& other171) {
+  hosts = other171.hosts;
+  __isset = other171.__isset;
+  return *this;
+}
+membership_notice& membership_notice::operator=(membership_notice&& other172) noexcept {
+  hosts = std::move(other172.hosts);
+  __isset = other172.__isset;
+  return *this;
+}
+void membership_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "membership_notice(";
+  out << "hosts=" << to_string(hosts);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -5009,6 +5354,11 @@
   this->busy_ = val;
 __isset.busy_ = true;
 }
+
+void frame::__set_membership_(const membership_notice& val) {
+  this->membership_ = val;
+__isset.membership_ = true;
+}
 std::ostream& operator<<(std::ostream& out, const frame& obj)
 {
   obj.printTo(out);
@@ -5213,6 +5563,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership_.read(iprot);
+          this->__isset.membership_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5340,6 +5698,11 @@
     xfer += this->busy_.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.membership_) {
+    xfer += oprot->writeFieldBegin("membership_", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->membership_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5369,109 +5732,114 @@
   swap(a.view_question_, b.view_question_);
   swap(a.view_answer_, b.view_answer_);
   swap(a.busy_, b.busy_);
+  swap(a.membership_, b.membership_);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other158) {
-  hello_ = other158.hello_;
-  welcome_ = other158.welcome_;
-  begin_ = other158.begin_;
-  body_ = other158.body_;
-  credit_ = other158.credit_;
-  cancel_ = other158.cancel_;
-  head_ = other158.head_;
-  refused_ = other158.refused_;
-  failed_ = other158.failed_;
-  resolve_ = other158.resolve_;
-  resolution_ = other158.resolution_;
-  ping_ = other158.ping_;
-  pong_ = other158.pong_;
-  drain_ = other158.drain_;
-  pull_ = other158.pull_;
-  update_ = other158.update_;
-  lease_request_ = other158.lease_request_;
-  lease_grant_ = other158.lease_grant_;
-  report_ = other158.report_;
-  view_question_ = other158.view_question_;
-  view_answer_ = other158.view_answer_;
-  busy_ = other158.busy_;
-  __isset = other158.__isset;
-}
-frame::frame(frame&& other159) noexcept {
-  hello_ = std::move(other159.hello_);
-  welcome_ = std::move(other159.welcome_);
-  begin_ = std::move(other159.begin_);
-  body_ = std::move(other159.body_);
-  credit_ = std::move(other159.credit_);
-  cancel_ = std::move(other159.cancel_);
-  head_ = std::move(other159.head_);
-  refused_ = std::move(other159.refused_);
-  failed_ = std::move(other159.failed_);
-  resolve_ = std::move(other159.resolve_);
-  resolution_ = std::move(other159.resolution_);
-  ping_ = std::move(other159.ping_);
-  pong_ = std::move(other159.pong_);
-  drain_ = std::move(other159.drain_);
-  pull_ = std::move(other159.pull_);
-  update_ = std::move(other159.update_);
-  lease_request_ = std::move(other159.lease_request_);
-  lease_grant_ = std::move(other159.lease_grant_);
-  report_ = std::move(other159.report_);
-  view_question_ = std::move(other159.view_question_);
-  view_answer_ = std::move(other159.view_answer_);
-  busy_ = std::move(other159.busy_);
-  __isset = other159.__isset;
-}
-frame& frame::operator=(const frame& other160) {
-  hello_ = other160.hello_;
-  welcome_ = other160.welcome_;
-  begin_ = other160.begin_;
-  body_ = other160.body_;
-  credit_ = other160.credit_;
-  cancel_ = other160.cancel_;
-  head_ = other160.head_;
-  refused_ = other160.refused_;
-  failed_ = other160.failed_;
-  resolve_ = other160.resolve_;
-  resolution_ = other160.resolution_;
-  ping_ = other160.ping_;
-  pong_ = other160.pong_;
-  drain_ = other160.drain_;
-  pull_ = other160.pull_;
-  update_ = other160.update_;
-  lease_request_ = other160.lease_request_;
-  lease_grant_ = other160.lease_grant_;
-  report_ = other160.report_;
-  view_question_ = other160.view_question_;
-  view_answer_ = other160.view_answer_;
-  busy_ = other160.busy_;
-  __isset = other160.__isset;
+frame::frame(const frame& other173) {
+  hello_ = other173.hello_;
+  welcome_ = other173.welcome_;
+  begin_ = other173.begin_;
+  body_ = other173.body_;
+  credit_ = other173.credit_;
+  cancel_ = other173.cancel_;
+  head_ = other173.head_;
+  refused_ = other173.refused_;
+  failed_ = other173.failed_;
+  resolve_ = other173.resolve_;
+  resolution_ = other173.resolution_;
+  ping_ = other173.ping_;
+  pong_ = other173.pong_;
+  drain_ = other173.drain_;
+  pull_ = other173.pull_;
+  update_ = other173.update_;
+  lease_request_ = other173.lease_request_;
+  lease_grant_ = other173.lease_grant_;
+  report_ = other173.report_;
+  view_question_ = other173.view_question_;
+  view_answer_ = other173.view_answer_;
+  busy_ = other173.busy_;
+  membership_ = other173.membership_;
+  __isset = other173.__isset;
+}
+frame::frame(frame&& other174) noexcept {
+  hello_ = std::move(other174.hello_);
+  welcome_ = std::move(other174.welcome_);
+  begin_ = std::move(other174.begin_);
+  body_ = std::move(other174.body_);
+  credit_ = std::move(other174.credit_);
+  cancel_ = std::move(other174.cancel_);
+  head_ = std::move(other174.head_);
+  refused_ = std::move(other174.refused_);
+  failed_ = std::move(other174.failed_);
+  resolve_ = std::move(other174.resolve_);
+  resolution_ = std::move(other174.resolution_);
+  ping_ = std::move(other174.ping_);
+  pong_ = std::move(other174.pong_);
+  drain_ = std::move(other174.drain_);
+  pull_ = std::move(other174.pull_);
+  update_ = std::move(other174.update_);
+  lease_request_ = std::move(other174.lease_request_);
+  lease_grant_ = std::move(other174.lease_grant_);
+  report_ = std::move(other174.report_);
+  view_question_ = std::move(other174.view_question_);
+  view_answer_ = std::move(other174.view_answer_);
+  busy_ = std::move(other174.busy_);
+  membership_ = std::move(other174.membership_);
+  __isset = other174.__isset;
+}
+frame& frame::operator=(const frame& other175) {
+  hello_ = other175.hello_;
+  welcome_ = other175.welcome_;
+  begin_ = other175.begin_;
+  body_ = other175.body_;
+  credit_ = other175.credit_;
+  cancel_ = other175.cancel_;
+  head_ = other175.head_;
+  refused_ = other175.refused_;
+  failed_ = other175.failed_;
+  resolve_ = other175.resolve_;
+  resolution_ = other175.resolution_;
+  ping_ = other175.ping_;
+  pong_ = other175.pong_;
+  drain_ = other175.drain_;
+  pull_ = other175.pull_;
+  update_ = other175.update_;
+  lease_request_ = other175.lease_request_;
+  lease_grant_ = other175.lease_grant_;
+  report_ = other175.report_;
+  view_question_ = other175.view_question_;
+  view_answer_ = other175.view_answer_;
+  busy_ = other175.busy_;
+  membership_ = other175.membership_;
+  __isset = other175.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other161) noexcept {
-  hello_ = std::move(other161.hello_);
-  welcome_ = std::move(other161.welcome_);
-  begin_ = std::move(other161.begin_);
-  body_ = std::move(other161.body_);
-  credit_ = std::move(other161.credit_);
-  cancel_ = std::move(other161.cancel_);
-  head_ = std::move(other161.head_);
-  refused_ = std::move(other161.refused_);
-  failed_ = std::move(other161.failed_);
-  resolve_ = std::move(other161.resolve_);
-  resolution_ = std::move(other161.resolution_);
-  ping_ = std::move(other161.ping_);
-  pong_ = std::move(other161.pong_);
-  drain_ = std::move(other161.drain_);
-  pull_ = std::move(other161.pull_);
-  update_ = std::move(other161.update_);
-  lease_request_ = std::move(other161.lease_request_);
-  lease_grant_ = std::move(other161.lease_grant_);
-  report_ = std::move(other161.report_);
-  view_question_ = std::move(other161.view_question_);
-  view_answer_ = std::move(other161.view_answer_);
-  busy_ = std::move(other161.busy_);
-  __isset = other161.__isset;
+frame& frame::operator=(frame&& other176) noexcept {
+  hello_ = std::move(other176.hello_);
+  welcome_ = std::move(other176.welcome_);
+  begin_ = std::move(other176.begin_);
+  body_ = std::move(other176.body_);
+  credit_ = std::move(other176.credit_);
+  cancel_ = std::move(other176.cancel_);
+  head_ = std::move(other176.head_);
+  refused_ = std::move(other176.refused_);
+  failed_ = std::move(other176.failed_);
+  resolve_ = std::move(other176.resolve_);
+  resolution_ = std::move(other176.resolution_);
+  ping_ = std::move(other176.ping_);
+  pong_ = std::move(other176.pong_);
+  drain_ = std::move(other176.drain_);
+  pull_ = std::move(other176.pull_);
+  update_ = std::move(other176.update_);
+  lease_request_ = std::move(other176.lease_request_);
+  lease_grant_ = std::move(other176.lease_grant_);
+  report_ = std::move(other176.report_);
+  view_question_ = std::move(other176.view_question_);
+  view_answer_ = std::move(other176.view_answer_);
+  busy_ = std::move(other176.busy_);
+  membership_ = std::move(other176.membership_);
+  __isset = other176.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5499,6 +5867,7 @@
   out << ", " << "view_question_="; (__isset.view_question_ ? (out << to_string(view_question_)) : (out << "<null>"));
   out << ", " << "view_answer_="; (__isset.view_answer_ ? (out << to_string(view_answer_)) : (out << "<null>"));
   out << ", " << "busy_="; (__isset.busy_ ? (out << to_string(busy_)) : (out << "<null>"));
+  out << ", " << "membership_="; (__isset.membership_ ? (out << to_string(membership_)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -80,6 +80,18 @@
 
 std::string to_string(const config_value val);
 
+enum host_state {
+  alive = 1,
+  suspected = 2,
+  silent = 3
+};
+
+extern const std::map<int, const char*> _host_state_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const host_state val);
+
+std::string to_string(const host_state val);
+
 class attempt_ref;
 
 class config_versions;
@@ -132,6 +144,10 @@
 
 class lease_grant;
 
+class host_notice;
+
+class membership_notice;
+
 class frame;
 
 typedef struct _attempt_ref__isset {
@@ -1935,8 +1951,131 @@
 
 std::ostream& operator<<(std::ostream& out, const lease_grant& obj);
 
+typedef struct _host_notice__isset {
+  _host_notice__isset() : host(false), boot_tag(false), state(false), age_ms(false), reporter(false) {}
+  bool host :1;
+  bool boot_tag :1;
+  bool state :1;
+  bool age_ms :1;
+  bool reporter :1;
+} _host_notice__isset;
+
+class host_notice : public virtual ::apache::thrift::TBase {
+ public:
+
+  host_notice(const host_notice&);
+  host_notice(host_notice&&) noexcept;
+  host_notice& operator=(const host_notice&);
+  host_notice& operator=(host_notice&&) noexcept;
+  host_notice() noexcept
+              : host(),
+                boot_tag(0),
+                state(static_cast<host_state>(0)),
+                age_ms(0),
+                reporter() {
+  }
+
+  virtual ~host_notice() noexcept;
+  std::string host;
+  int32_t boot_tag;
+  /**
+   * 
+   * @see host_state
+   */
+  host_state state;
+  int32_t age_ms;
+  std::string reporter;
+
+  _host_notice__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_boot_tag(const int32_t val);
+
+  void __set_state(const host_state val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_reporter(const std::string& val);
+
+  bool operator == (const host_notice & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(boot_tag == rhs.boot_tag))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (__isset.reporter != rhs.__isset.reporter)
+      return false;
+    else if (__isset.reporter && !(reporter == rhs.reporter))
+      return false;
+    return true;
+  }
+  bool operator != (const host_notice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const host_notice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(host_notice &a, host_notice &b);
+
+std::ostream& operator<<(std::ostream& out, const host_notice& obj);
+
+typedef struct _membership_notice__isset {
+  _membership_notice__isset() : hosts(false) {}
+  bool hosts :1;
+} _membership_notice__isset;
+
+class membership_notice : public virtual ::apache::thrift::TBase {
+ public:
+
+  membership_notice(const membership_notice&);
+  membership_notice(membership_notice&&) noexcept;
+  membership_notice& operator=(const membership_notice&);
+  membership_notice& operator=(membership_notice&&) noexcept;
+  membership_notice() noexcept {
+  }
+
+  virtual ~membership_notice() noexcept;
+  std::vector<host_notice>  hosts;
+
+  _membership_notice__isset __isset;
+
+  void __set_hosts(const std::vector<host_notice> & val);
+
+  bool operator == (const membership_notice & rhs) const
+  {
+    if (!(hosts == rhs.hosts))
+      return false;
+    return true;
+  }
+  bool operator != (const membership_notice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const membership_notice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(membership_notice &a, membership_notice &b);
+
+std::ostream& operator<<(std::ostream& out, const membership_notice& obj);
+
 typedef struct _frame__isset {
-  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false), busy_(false) {}
+  _frame__isset() : hello_(false), welcome_(false), begin_(false), body_(false), credit_(false), cancel_(false), head_(false), refused_(false), failed_(false), resolve_(false), resolution_(false), ping_(false), pong_(false), drain_(false), pull_(false), update_(false), lease_request_(false), lease_grant_(false), report_(false), view_question_(false), view_answer_(false), busy_(false), membership_(false) {}
   bool hello_ :1;
   bool welcome_ :1;
   bool begin_ :1;
@@ -1959,6 +2098,7 @@
   bool view_question_ :1;
   bool view_answer_ :1;
   bool busy_ :1;
+  bool membership_ :1;
 } _frame__isset;
 
 class frame : public virtual ::apache::thrift::TBase {
@@ -1994,6 +2134,7 @@
   view_question view_question_;
   view_answer view_answer_;
   config_busy busy_;
+  membership_notice membership_;
 
   _frame__isset __isset;
 
@@ -2041,6 +2182,8 @@
 
   void __set_busy_(const config_busy& val);
 
+  void __set_membership_(const membership_notice& val);
+
   bool operator == (const frame & rhs) const
   {
     if (__isset.hello_ != rhs.__isset.hello_)
@@ -2131,6 +2274,10 @@
       return false;
     else if (__isset.busy_ && !(busy_ == rhs.busy_))
       return false;
+    if (__isset.membership_ != rhs.__isset.membership_)
+      return false;
+    else if (__isset.membership_ && !(membership_ == rhs.membership_))
+      return false;
     return true;
   }
   bool operator != (const frame &rhs) const {
--- a/tests/frame_socket_test.cpp
+++ b/tests/frame_socket_test.cpp
@@ -79,7 +79,8 @@
     frames.at(1).__isset.ping_ = true;
     frames.at(2).__isset.update_ = true;
     frames.at(3).__isset.lease_request_ = true;
-    frames.at(4).__isset.drain_ = true;
+    frames.at(4).__isset.membership_ = true;
+    frames.at(5).__isset.drain_ = true;
     return frames;
 }
 
