--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -159,6 +159,37 @@
   }
 }
 
+int _khost_stateValues[] = {
+  alive,
+  suspected,
+  silent
+};
+const char* _khost_stateNames[] = {
+  "alive",
+  "suspected",
+  "silent"
+};
+const std::map<int, const char*> _host_state_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _khost_stateValues, _khost_stateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const host_state val) {
+  std::map<int, const char*>::const_iterator it = _host_state_VALUES_TO_NAMES.find(val);
+  if (it != _host_state_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const host_state val) {
+  std::map<int, const char*>::const_iterator it = _host_state_VALUES_TO_NAMES.find(val);
+  if (it != _host_state_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 attempt_ref::~attempt_ref() noexcept {
 }
@@ -5190,6 +5221,320 @@
 }
 
 
+host_notice::~host_notice() noexcept {
+}
+
+
+void host_notice::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void host_notice::__set_boot_tag(const int32_t val) {
+  this->boot_tag = val;
+}
+
+void host_notice::__set_state(const host_state val) {
+  this->state = val;
+}
+
+void host_notice::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void host_notice::__set_reporter(const std::string& val) {
+  this->reporter = val;
+__isset.reporter = true;
+}
+std::ostream& operator<<(std::ostream& out, const host_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t host_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->boot_tag);
+          this->__isset.boot_tag = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast166;
+          xfer += iprot->readI32(ecast166);
+          this->state = static_cast<host_state>(ecast166);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reporter);
+          this->__isset.reporter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t host_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("host_notice");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot_tag", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->boot_tag);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.reporter) {
+    xfer += oprot->writeFieldBegin("reporter", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->reporter);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(host_notice &a, host_notice &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.boot_tag, b.boot_tag);
+  swap(a.state, b.state);
+  swap(a.age_ms, b.age_ms);
+  swap(a.reporter, b.reporter);
+  swap(a.__isset, b.__isset);
+}
+
+host_notice::host_notice(const host_notice& other167) {
+  host = other167.host;
+  boot_tag = other167.boot_tag;
+  state = other167.state;
+  age_ms = other167.age_ms;
+  reporter = other167.reporter;
+  __isset = other167.__isset;
+}
+host_notice::host_notice(host_notice&& other168) noexcept {
+  host = std::move(other168.host);
+  boot_tag = other168.boot_tag;
+  state = other168.state;
+  age_ms = other168.age_ms;
+  reporter = std::move(other168.reporter);
+  __isset = other168.__isset;
+}
+host_notice& host_notice::operator=(const host_notice& other169) {
+  host = other169.host;
+  boot_tag = other169.boot_tag;
+  state = other169.state;
+  age_ms = other169.age_ms;
+  reporter = other169.reporter;
+  __isset = other169.__isset;
+  return *this;
+}
+host_notice& host_notice::operator=(host_notice&& other170) noexcept {
+  host = std::move(other170.host);
+  boot_tag = other170.boot_tag;
+  state = other170.state;
+  age_ms = other170.age_ms;
+  reporter = std::move(other170.reporter);
+  __isset = other170.__isset;
+  return *this;
+}
+void host_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "host_notice(";
+  out << "host=" << to_string(host);
+  out << ", " << "boot_tag=" << to_string(boot_tag);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "reporter="; (__isset.reporter ? (out << to_string(reporter)) : (out << "<null>"));
+  out << ")";
+}
+
+
+membership_notice::~membership_notice() noexcept {
+}
+
+
+void membership_notice::__set_hosts(const std::vector<host_notice> & val) {
+  this->hosts = val;
+}
+std::ostream& operator<<(std::ostream& out, const membership_notice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t membership_notice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->hosts.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
+            {
+              xfer += this->hosts[_i175].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t membership_notice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("membership_notice");
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<host_notice> ::const_iterator _iter176;
+    for (_iter176 = this->hosts.begin(); _iter176 != this->hosts.end(); ++_iter176)
+    {
+      xfer += (*_iter176).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(membership_notice &a, membership_notice &b) {
+  using ::std::swap;
+  swap(a.hosts, b.hosts);
+  swap(a.__isset, b.__isset);
+}
+
+membership_notice::membership_notice(const membership_notice& other177) {
+  hosts = other177.hosts;
+  __isset = other177.__isset;
+}
+membership_notice::membership_notice(membership_notice&& other178) noexcept {
+  hosts = std::move(other178.hosts);
+  __isset = other178.__isset;
+}
+membership_notice& membership_notice::operator=(const membership_notice& other179) {
+  hosts = other179.hosts;
+  __isset = other179.__isset;
+  return *this;
+}
+membership_notice& membership_notice::operator=(membership_notice&& other180) noexcept {
+  hosts = std::move(other180.hosts);
+  __isset = other180.__isset;
+  return *this;
+}
+void membership_notice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "membership_notice(";
+  out << "hosts=" << to_string(hosts);
+  out << ")";
+}
+
+
 frame::~frame() noexcept {
 }
 
@@ -5304,6 +5649,11 @@
 __isset.busy_ = true;
 }
 
+void frame::__set_membership_(const membership_notice& val) {
+  this->membership_ = val;
+__isset.membership_ = true;
+}
+
 void frame::__set_retry_loan_request_(const retry_loan_request& val) {
   this->retry_loan_request_ = val;
 __isset.retry_loan_request_ = true;
@@ -5517,6 +5867,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership_.read(iprot);
+          this->__isset.membership_ = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 24:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->retry_loan_request_.read(iprot);
@@ -5660,6 +6018,11 @@
     xfer += this->busy_.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.membership_) {
+    xfer += oprot->writeFieldBegin("membership_", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->membership_.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.retry_loan_request_) {
     xfer += oprot->writeFieldBegin("retry_loan_request_", ::apache::thrift::protocol::T_STRUCT, 24);
     xfer += this->retry_loan_request_.write(oprot);
@@ -5699,119 +6062,124 @@
   swap(a.view_question_, b.view_question_);
   swap(a.view_answer_, b.view_answer_);
   swap(a.busy_, b.busy_);
+  swap(a.membership_, b.membership_);
   swap(a.retry_loan_request_, b.retry_loan_request_);
   swap(a.retry_loan_, b.retry_loan_);
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other166) {
-  hello_ = other166.hello_;
-  welcome_ = other166.welcome_;
-  begin_ = other166.begin_;
-  body_ = other166.body_;
-  credit_ = other166.credit_;
-  cancel_ = other166.cancel_;
-  head_ = other166.head_;
-  refused_ = other166.refused_;
-  failed_ = other166.failed_;
-  resolve_ = other166.resolve_;
-  resolution_ = other166.resolution_;
-  ping_ = other166.ping_;
-  pong_ = other166.pong_;
-  drain_ = other166.drain_;
-  pull_ = other166.pull_;
-  update_ = other166.update_;
-  lease_request_ = other166.lease_request_;
-  lease_grant_ = other166.lease_grant_;
-  report_ = other166.report_;
-  view_question_ = other166.view_question_;
-  view_answer_ = other166.view_answer_;
-  busy_ = other166.busy_;
-  retry_loan_request_ = other166.retry_loan_request_;
-  retry_loan_ = other166.retry_loan_;
-  __isset = other166.__isset;
-}
-frame::frame(frame&& other167) noexcept {
-  hello_ = std::move(other167.hello_);
-  welcome_ = std::move(other167.welcome_);
-  begin_ = std::move(other167.begin_);
-  body_ = std::move(other167.body_);
-  credit_ = std::move(other167.credit_);
-  cancel_ = std::move(other167.cancel_);
-  head_ = std::move(other167.head_);
-  refused_ = std::move(other167.refused_);
-  failed_ = std::move(other167.failed_);
-  resolve_ = std::move(other167.resolve_);
-  resolution_ = std::move(other167.resolution_);
-  ping_ = std::move(other167.ping_);
-  pong_ = std::move(other167.pong_);
-  drain_ = std::move(other167.drain_);
-  pull_ = std::move(other167.pull_);
-  update_ = std::move(other167.update_);
-  lease_request_ = std::move(other167.lease_request_);
-  lease_grant_ = std::move(other167.lease_grant_);
-  report_ = std::move(other167.report_);
-  view_question_ = std::move(other167.view_question_);
-  view_answer_ = std::move(other167.view_answer_);
-  busy_ = std::move(other167.busy_);
-  retry_loan_request_ = std::move(other167.retry_loan_request_);
-  retry_loan_ = std::move(other167.retry_loan_);
-  __isset = other167.__isset;
-}
-frame& frame::operator=(const frame& other168) {
-  hello_ = other168.hello_;
-  welcome_ = other168.welcome_;
-  begin_ = other168.begin_;
-  body_ = other168.body_;
-  credit_ = other168.credit_;
-  cancel_ = other168.cancel_;
-  head_ = other168.head_;
-  refused_ = other168.refused_;
-  failed_ = other168.failed_;
-  resolve_ = other168.resolve_;
-  resolution_ = other168.resolution_;
-  ping_ = other168.ping_;
-  pong_ = other168.pong_;
-  drain_ = other168.drain_;
-  pull_ = other168.pull_;
-  update_ = other168.update_;
-  lease_request_ = other168.lease_request_;
-  lease_grant_ = other168.lease_grant_;
-  report_ = other168.report_;
-  view_question_ = other168.view_question_;
-  view_answer_ = other168.view_answer_;
-  busy_ = other168.busy_;
-  retry_loan_request_ = other168.retry_loan_request_;
-  retry_loan_ = other168.retry_loan_;
-  __isset = other168.__isset;
+frame::frame(const frame& other181) {
+  hello_ = other181.hello_;
+  welcome_ = other181.welcome_;
+  begin_ = other181.begin_;
+  body_ = other181.body_;
+  credit_ = other181.credit_;
+  cancel_ = other181.cancel_;
+  head_ = other181.head_;
+  refused_ = other181.refused_;
+  failed_ = other181.failed_;
+  resolve_ = other181.resolve_;
+  resolution_ = other181.resolution_;
+  ping_ = other181.ping_;
+  pong_ = other181.pong_;
+  drain_ = other181.drain_;
+  pull_ = other181.pull_;
+  update_ = other181.update_;
+  lease_request_ = other181.lease_request_;
+  lease_grant_ = other181.lease_grant_;
+  report_ = other181.report_;
+  view_question_ = other181.view_question_;
+  view_answer_ = other181.view_answer_;
+  busy_ = other181.busy_;
+  membership_ = other181.membership_;
+  retry_loan_request_ = other181.retry_loan_request_;
+  retry_loan_ = other181.retry_loan_;
+  __isset = other181.__isset;
+}
+frame::frame(frame&& other182) noexcept {
+  hello_ = std::move(other182.hello_);
+  welcome_ = std::move(other182.welcome_);
+  begin_ = std::move(other182.begin_);
+  body_ = std::move(other182.body_);
+  credit_ = std::move(other182.credit_);
+  cancel_ = std::move(other182.cancel_);
+  head_ = std::move(other182.head_);
+  refused_ = std::move(other182.refused_);
+  failed_ = std::move(other182.failed_);
+  resolve_ = std::move(other182.resolve_);
+  resolution_ = std::move(other182.resolution_);
+  ping_ = std::move(other182.ping_);
+  pong_ = std::move(other182.pong_);
+  drain_ = std::move(other182.drain_);
+  pull_ = std::move(other182.pull_);
+  update_ = std::move(other182.update_);
+  lease_request_ = std::move(other182.lease_request_);
+  lease_grant_ = std::move(other182.lease_grant_);
+  report_ = std::move(other182.report_);
+  view_question_ = std::move(other182.view_question_);
+  view_answer_ = std::move(other182.view_answer_);
+  busy_ = std::move(other182.busy_);
+  membership_ = std::move(other182.membership_);
+  retry_loan_request_ = std::move(other182.retry_loan_request_);
+  retry_loan_ = std::move(other182.retry_loan_);
+  __isset = other182.__isset;
+}
+frame& frame::operator=(const frame& other183) {
+  hello_ = other183.hello_;
+  welcome_ = other183.welcome_;
+  begin_ = other183.begin_;
+  body_ = other183.body_;
+  credit_ = other183.credit_;
+  cancel_ = other183.cancel_;
+  head_ = other183.head_;
+  refused_ = other183.refused_;
+  failed_ = other183.failed_;
+  resolve_ = other183.resolve_;
+  resolution_ = other183.resolution_;
+  ping_ = other183.ping_;
+  pong_ = other183.pong_;
+  drain_ = other183.drain_;
+  pull_ = other183.pull_;
+  update_ = other183.update_;
+  lease_request_ = other183.lease_request_;
+  lease_grant_ = other183.lease_grant_;
+  report_ = other183.report_;
+  view_question_ = other183.view_question_;
+  view_answer_ = other183.view_answer_;
+  busy_ = other183.busy_;
+  membership_ = other183.membership_;
+  retry_loan_request_ = other183.retry_loan_request_;
+  retry_loan_ = other183.retry_loan_;
+  __isset = other183.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other169) noexcept {
-  hello_ = std::move(other169.hello_);
-  welcome_ = std::move(other169.welcome_);
-  begin_ = std::move(other169.begin_);
-  body_ = std::move(other169.body_);
-  credit_ = std::move(other169.credit_);
-  cancel_ = std::move(other169.cancel_);
-  head_ = std::move(other169.head_);
-  refused_ = std::move(other169.refused_);
-  failed_ = std::move(other169.failed_);
-  resolve_ = std::move(other169.resolve_);
-  resolution_ = std::move(other169.resolution_);
-  ping_ = std::move(other169.ping_);
-  pong_ = std::move(other169.pong_);
-  drain_ = std::move(other169.drain_);
-  pull_ = std::move(other169.pull_);
-  update_ = std::move(other169.update_);
-  lease_request_ = std::move(other169.lease_request_);
-  lease_grant_ = std::move(other169.lease_grant_);
-  report_ = std::move(other169.report_);
-  view_question_ = std::move(other169.view_question_);
-  view_answer_ = std::move(other169.view_answer_);
-  busy_ = std::move(other169.busy_);
-  retry_loan_request_ = std::move(other169.retry_loan_request_);
-  retry_loan_ = std::move(other169.retry_loan_);
-  __isset = other169.__isset;
+frame& frame::operator=(frame&& other184) noexcept {
+  hello_ = std::move(other184.hello_);
+  welcome_ = std::move(other184.welcome_);
+  begin_ = std::move(other184.begin_);
+  body_ = std::move(other184.body_);
+  credit_ = std::move(other184.credit_);
+  cancel_ = std::move(other184.cancel_);
+  head_ = std::move(other184.head_);
+  refused_ = std::move(other184.refused_);
+  failed_ = std::move(other184.failed_);
+  resolve_ = std::move(other184.resolve_);
+  resolution_ = std::move(other184.resolution_);
+  ping_ = std::move(other184.ping_);
+  pong_ = std::move(other184.pong_);
+  drain_ = std::move(other184.drain_);
+  pull_ = std::move(other184.pull_);
+  update_ = std::move(other184.update_);
+  lease_request_ = std::move(other184.lease_request_);
+  lease_grant_ = std::move(other184.lease_grant_);
+  report_ = std::move(other184.report_);
+  view_question_ = std::move(other184.view_question_);
+  view_answer_ = std::move(other184.view_answer_);
+  busy_ = std::move(other184.busy_);
+  membership_ = std::move(other184.membership_);
+  retry_loan_request_ = std::move(other184.retry_loan_request_);
+  retry_loan_ = std::move(other184.retry_loan_);
+  __isset = other184.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5839,6 +6207,7 @@
   out << ", " << "view_question_="; (__isset.view_question_ ? (out << to_string(view_question_)) : (out << "<null>"));
   out << ", " << "view_answer_="; (__isset.view_answer_ ? (out << to_string(view_answer_)) : (out << "<null>"));
   out << ", " << "busy_="; (__isset.busy_ ? (out << to_string(busy_)) : (out << "<null>"));
+  out << ", " << "membership_="; (__isset.membership_ ? (out << to_string(membership_)) : (out << "<null>"));
   out << ", " << "retry_loan_request_="; (__isset.retry_loan_request_ ? (out << to_string(retry_loan_request_)) : (out << "<null>"));
   out << ", " << "retry_loan_="; (__isset.retry_loan_ ? (out << to_string(retry_loan_)) : (out << "<null>"));
   out << ")";
