--- a/tests/quota_takeover_test.cpp
+++ b/tests/quota_takeover_test.cpp
@@ -146,6 +146,16 @@
         }
     }
 
+    // Cuts the fleet into this many sides at random; messages between them wait until it is whole.
+    void cut(std::size_t sides) {
+        sides_.clear();
+        for (std::size_t i = 0; i < host_count; ++i) {
+            sides_.push_back(random_below(sides));
+        }
+    }
+
+    std::size_t side(std::size_t host) const { return sides_.empty() ? 0 : sides_[host]; }
+
     std::uint64_t random_below(std::uint64_t bound) { return base::random_below(random_, bound); }
 
     base::runtime_clock clock_;
@@ -156,13 +166,15 @@
     std::deque<request> requests_;
     std::vector<outcome> outcomes_;
     std::set<std::size_t> to_freeze_;
+    std::vector<std::size_t> sides_;
 
 private:
     void deliver() {
         std::deque<message> due;
         std::deque<message> later;
         for (message& pending : messages_) {
-            const bool arrives = pending.due_ <= clock_.now() && running(pending.to_);
+            const bool arrives = pending.due_ <= clock_.now() && running(pending.to_) &&
+                                 side(pending.from_) == side(pending.to_);
             (arrives ? due : later).push_back(std::move(pending));
         }
         messages_ = std::move(later);
@@ -301,3 +313,24 @@
         }
     }
 }
+
+// Guards against: owners of several sides that each grant as if they reached the whole fleet, until
+// the links between the sides are known to be lost.
+TEST_CASE("a flood gets no more than the rate allows in a cut that is found after 2 s",
+          "[quota][promise-quota]") {
+    constexpr base::duration cut_time = base::seconds(2);
+    for (const std::size_t sides : {2, 3}) {
+        for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+            INFO("seed " << seed << ", " << sides << " sides");
+            fleet hosts(seed, 4);
+            hosts.run(start_time, flood);
+            hosts.cut(sides);
+            hosts.run(cut_time, flood);
+            hosts.cut(1);
+            hosts.run(time_after_wake, flood);
+            for (const outcome& result : hosts.outcomes_) {
+                CHECK(static_cast<double>(result.most_in_window()) <= allowed_in_window);
+            }
+        }
+    }
+}
