--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -22,6 +22,9 @@
 
 namespace dandelionridge::node {
 
+// Cause of the loss of a link whose peer does not answer.
+inline constexpr std::string_view peer_silent = "silent";
+
 // How a link was lost.
 enum class link_loss {
     // The link was closed or broken: the peer most likely lives.
