Count what an owner granted over its interruptions

Found in review: an owner that stopped and began to act anew forgot its grants within the window and got a part of the tolerance each time.

A host that acts anew keeps its grants of the window and gets that part of the tolerance at most once a window.

--- a/src/policy/quota.cpp
+++ b/src/policy/quota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -154,6 +155,19 @@
     return owner;
 }
 
+// Begins to act with a part of the tolerance. A host that acts anew within the window has used that
+// part, and what it granted still counts: otherwise each interruption would add tokens.
+void begin_to_act(quota_owner& owner, const quota_limit& limit, double share, base::instant now) {
+    quota_owner before = std::exchange(owner, make_owner(limit, now));
+    owner.recent_grants_ = std::move(before.recent_grants_);
+    owner.tokens_in_window_ = before.tokens_in_window_;
+    owner.tolerance_used_at_ = before.tolerance_used_at_;
+    if (!owner.tolerance_used_at_ || now - *owner.tolerance_used_at_ >= limit.tolerance_.window_) {
+        owner.bucket_.tokens_ = takeover_tolerance_share * share * tolerated_excess(limit);
+        owner.tolerance_used_at_ = now;
+    }
+}
+
 quota_grant grant_tokens(quota_owner& owner, const quota_limit& limit,
                          const host_reachability& reachability, std::int64_t wanted,
                          base::instant now, const std::string& requester) {
@@ -166,8 +180,7 @@
         return grant;
     }
     if (!owner.acting_) {
-        owner = make_owner(limit, now);
-        owner.bucket_.tokens_ = takeover_tolerance_share * share * tolerated_excess(limit);
+        begin_to_act(owner, limit, share, now);
     }
     refill(owner.bucket_, static_cast<double>(owner.bucket_.burst_), now);
     owner.bucket_.rate_ = limit.rate_ * share;
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -112,6 +113,8 @@
     bool acting_ = false;
     // Nothing is granted before this time.
     base::instant grants_from_{};
+    // Last time at which the host began to act with a part of the tolerance.
+    std::optional<base::instant> tolerance_used_at_;
     // Tokens requested per second, averaged over about a second.
     double requested_rate_ = 0;
     // Time of the last request for tokens.
--- a/tests/quota_owner_test.cpp
+++ b/tests/quota_owner_test.cpp
@@ -1,7 +1,9 @@
 // How an owner grants an organisation's tokens, and how a host that takes its place does.
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <string>
+#include <utility>
 
 #include "support/quota_host.h"
 
@@ -135,3 +137,40 @@
         }
     }
 }
+
+// Guards against: an owner that is interrupted again and again takes over with a part of the
+// tolerance each time, and what it granted before no longer counts.
+TEST_CASE("an owner that is interrupted again and again keeps rate and burst within the tolerance",
+          "[quota]") {
+    constexpr base::duration step = base::milliseconds(10);
+    const policy::quota_limit flooded{20, 20, {window, 0.25, 20}};
+    const double allowed = 1.25 * policy::max_tokens_per_window(flooded) + 20;
+    for (const base::milliseconds interruption :
+         {base::milliseconds(10), base::milliseconds(300)}) {
+        for (const int active_steps : {30, 45, 70, 100}) {
+            CAPTURE(interruption.count(), active_steps);
+            policy::quota_owner owner;
+            base::instant now{base::seconds(100)};
+            std::deque<std::pair<base::instant, std::int64_t>> grants;
+            std::int64_t in_window = 0;
+            std::int64_t most_in_window = 0;
+            for (int i = 0; i < 3000; ++i) {
+                now += step;
+                if (i % active_steps == 0) {
+                    policy::stop_acting(owner);
+                    now += interruption;
+                }
+                const auto grant = policy::grant_tokens(
+                    owner, flooded, {.reachable_hosts_ = 1, .hosts_ = 1}, 50, now);
+                grants.emplace_back(now, grant.tokens_);
+                in_window += grant.tokens_;
+                while (now - grants.front().first >= window) {
+                    in_window -= grants.front().second;
+                    grants.pop_front();
+                }
+                most_in_window = std::max(most_in_window, in_window);
+            }
+            CHECK(static_cast<double>(most_in_window) <= allowed);
+        }
+    }
+}
