Round the retry budget after its share is taken

Found in review: the random part of a retry was added to the slack, so that the share of a kind of request scaled it too.

--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -8,7 +8,6 @@
 
 #include "node/call.h"
 #include "node/departure_expiry.h"
-#include "policy/retry_slack.h"
 #include "policy/target_health.h"
 #include "policy/target_rate.h"
 
@@ -65,7 +64,7 @@
     : dependencies_(std::move(dependencies)),
       started_at_(dependencies_.loop_.clock().now()),
       random_(base::make_random_engine()),
-      slack_rounding_(
+      retry_rounding_(
           std::generate_canonical<double, std::numeric_limits<double>::digits>(random_)),
       choices_(dependencies_.loop_, dependencies_.events_) {}
 
@@ -209,12 +208,13 @@
 // proxy uses an equal share of the slack, and less of it just after its start.
 policy::retry_limits caller_proxy::retry_limits() const {
     const config::settings& settings = dependencies_.settings_;
-    const double slack = policy::host_retry_slack(
-        settings.retry_slack_ * budget_share, dependencies_.configuration_.hosts()->hosts_.size(),
-        slack_rounding_);
+    const double host_count = std::max<double>(
+        1, static_cast<double>(dependencies_.configuration_.hosts()->hosts_.size()));
     const double slack_share = policy::usable_slack_share(
         dependencies_.loop_.clock().now() - started_at_, settings.retry_window_);
-    return {settings.retry_ratio_ * budget_share, slack * slack_share, settings.retry_window_};
+    return {settings.retry_ratio_ * budget_share,
+            settings.retry_slack_ * budget_share * slack_share / host_count, settings.retry_window_,
+            retry_rounding_};
 }
 
 bool caller_proxy::may_retry(const std::string& service, bool nested) {
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -190,8 +190,8 @@
     caller_proxy_dependencies dependencies_;
     base::instant started_at_;
     base::random_engine random_;
-    // Random number from 0 to 1 by which this host rounds its share of the retry budget's slack.
-    double slack_rounding_;
+    // See policy::retry_limits.
+    double retry_rounding_;
     std::unique_ptr<net::http_server> server_;
     bool listening_ = true;
     std::optional<policy::planned_stop> drain_;
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -98,7 +98,7 @@
 }
 
 bool can_ever_retry(const retry_limits& limits, double share) {
-    return share * limits.ratio_ > 0 || share * limits.slack_ >= 1;
+    return share * limits.ratio_ > 0 || share * limits.slack_ + limits.rounding_ >= 1;
 }
 
 bool has_budget(const retry_budget& budget, const retry_limits& limits, double share,
@@ -113,7 +113,7 @@
         requests += age < limits.window_ ? interval.requests_ : 0;
         retries += age < limits.window_ + length ? interval.retries_ : 0;
     }
-    return retries + 1 <= share * (limits.ratio_ * requests + limits.slack_);
+    return retries + 1 <= share * (limits.ratio_ * requests + limits.slack_) + limits.rounding_;
 }
 
 double retries_allowed_within(const retry_budget& budget, const retry_limits& limits, double share,
@@ -125,7 +125,8 @@
         requests += age < limits.window_ ? interval.requests_ : 0;
         retries_left += age + time < limits.window_ ? interval.retries_ : 0;
     }
-    return std::max(0.0, share * (limits.ratio_ * requests + limits.slack_) - retries_left);
+    const double allowed = share * (limits.ratio_ * requests + limits.slack_) + limits.rounding_;
+    return std::max(0.0, allowed - retries_left);
 }
 
 bool claim_retry(retry_budget& budget, const retry_limits& limits, double share,
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -43,6 +43,10 @@
     // Retries allowed within the window in addition to the ratio.
     double slack_ = 10;
     base::duration window_ = base::seconds(10);
+    // Random number in [0, 1) that is added before the retries are rounded down to whole ones: the
+    // shares of all hosts then add up to the fleet's budget on average. A large fleet whose hosts
+    // all rounded down would use little of it, or none.
+    double rounding_ = 0;
 };
 
 // Requests and retries of one caller proxy for one service within the window.
--- a/tests/retry_loans_test.cpp
+++ b/tests/retry_loans_test.cpp
@@ -7,7 +7,6 @@
 
 #include "control/retry_loans.h"
 #include "policy/retry.h"
-#include "policy/retry_slack.h"
 
 using namespace dandelionridge;
 
@@ -97,8 +96,7 @@
     policy::retry_limits limits() const;
 
     fleet& fleet_;
-    // From 0 to 1; see policy::host_retry_slack().
-    double slack_rounding_;
+    double rounding_;
     policy::retry_budget budget_;
     control::retry_loans loans_;
 };
@@ -130,13 +128,13 @@
 
 budget_host::budget_host(fleet& fleet, std::size_t index)
     : fleet_(fleet),
-      slack_rounding_(rounding_of(index)),
+      rounding_(rounding_of(index)),
       loans_(fleet.clock_, fleet.configuration_, *this, host_name(index),
              base::random_engine(index)) {}
 
 policy::retry_limits budget_host::limits() const {
-    return {retry_ratio,
-            policy::host_retry_slack(retry_slack, fleet_.hosts_.size(), slack_rounding_), window};
+    return {retry_ratio, retry_slack / static_cast<double>(fleet_.hosts_.size()), window,
+            rounding_};
 }
 
 // Delivers a request and its reply at once.
