Bound the time in which a retry is borrowed

Found in review: five lenders that do not reply held a target's failure for up to 0.75 s. The search ends after 0.3 s. The request also records what it awaits before it asks, since a reply may come within the call.

--- a/src/control/retry_loans.cpp
+++ b/src/control/retry_loans.cpp
@@ -9,7 +9,9 @@
 
 // Hosts that are asked for one retry.
 constexpr std::size_t max_asked_hosts = 5;
-constexpr base::duration reply_timeout = base::milliseconds(150);
+constexpr base::duration reply_timeout = base::milliseconds(100);
+// Time for all of them, since the request's failure is kept from its caller.
+constexpr base::duration max_search_time = base::milliseconds(300);
 // Random draws of a host to ask, of which some cannot be asked.
 constexpr int max_draws = 16;
 
@@ -36,7 +38,7 @@
       random_(random) {}
 
 bool retry_loans::request(const std::string& service, retry_loan_listener& listener) {
-    return ask_next({service, &listener, {}, {}});
+    return ask_next({service, &listener, {}, {}, clock_.now() + max_search_time});
 }
 
 void retry_loans::cancel(retry_loan_listener& listener) {
@@ -93,7 +95,7 @@
 
 // Asks another host. Returns false if enough were asked or there is no other.
 bool retry_loans::ask_next(pending_request request) {
-    if (request.asked_hosts_.size() >= max_asked_hosts) {
+    if (request.asked_hosts_.size() >= max_asked_hosts || clock_.now() >= request.ends_at_) {
         return false;
     }
     const std::optional<std::string> lender = pick_host(request.asked_hosts_);
--- a/src/control/retry_loans.h
+++ b/src/control/retry_loans.h
@@ -83,6 +83,8 @@
         retry_loan_listener* listener_ = nullptr;
         std::set<std::string> asked_hosts_;
         base::instant reply_due_at_{};
+        // No other host is asked after this time.
+        base::instant ends_at_{};
     };
 
     bool ask_next(pending_request request);
--- a/src/node/call_retries.cpp
+++ b/src/node/call_retries.cpp
@@ -56,12 +56,15 @@
 // Asks other hosts for a retry if only this host's share of the budget does not allow one. Returns
 // false if none is asked.
 bool call::borrow_retry(const policy::retry_context& retry, const awaited_retry& awaited) {
-    if (!policy::may_borrow_retry(retry, awaited.decision_) ||
-        !owner_.dependencies_.retry_loans_.request(context_.service_->name_, *this)) {
+    if (!policy::may_borrow_retry(retry, awaited.decision_)) {
         return false;
     }
     awaited_retry_ = awaited;
-    return true;
+    const bool asked = owner_.dependencies_.retry_loans_.request(context_.service_->name_, *this);
+    if (!asked) {
+        awaited_retry_.reset();
+    }
+    return asked;
 }
 
 void call::on_retry_lent() {
@@ -105,7 +108,8 @@
     retry.same_target_ = same.has_value();
     const auto& next = same ? same : other;
     retry.run_duration_ = next && !budget_exempt ? next->run_duration_ : base::duration::zero();
-    if (outcome == policy::attempt_outcome::in_doubt && !attempt_->link_->failing()) {
+    if (outcome == policy::attempt_outcome::in_doubt && attempt_ != nullptr &&
+        !attempt_->link_->failing()) {
         const base::instant now = owner_.dependencies_.loop_.clock().now();
         retry.status_due_in_ =
             std::max<base::duration>(attempt_->status_due_at_ - now, base::duration::zero());
