--- a/src/node/target_proxy_targets.cpp
+++ b/src/node/target_proxy_targets.cpp
@@ -51,6 +51,7 @@
     if (target.started_ms_ != 0 && found.started_ms_ > target.started_ms_) {
         // The target was started again and has not named a limit yet.
         target.rate_ = {};
+        target.health_.failed_trials_ = 0;
     }
     target.slots_ = found.slots_;
     target.started_ms_ = found.started_ms_;
