End a link after one unanswered ping only if others confirm it

Found in review: one unanswered ping and one report ended a link, but links to a host that stands still for a moment miss a ping together, so a single report is no second evidence. The choice of targets avoids the host as before.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -289,8 +289,8 @@
     members_->on_heard(peer, boot, heard_at);
 }
 
-bool node::is_known_silent(const std::string& peer) const {
-    return members_->is_silent(peer);
+bool node::is_reported_silent(const std::string& peer) const {
+    return policy::is_confirmed_by_others(members_->known(), peer);
 }
 
 bool node::reachable(const std::string& host) const {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -56,7 +56,7 @@
     void on_peer_unanswered(const std::string& peer, base::instant sent_at,
                             bool link_silent) override;
     void on_peer_heard(const std::string& peer, std::int64_t boot, base::instant heard_at) override;
-    bool is_known_silent(const std::string& peer) const override;
+    bool is_reported_silent(const std::string& peer) const override;
     void on_target_report(const wire::target_report& report) override;
 
     void send(const std::string& host, const wire::frame& frame) override;
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -98,8 +98,8 @@
     // of 0 is unknown.
     virtual void on_peer_heard(const std::string& peer, std::int64_t boot,
                                base::instant heard_at) = 0;
-    // Returns true if the peer is known to be silent also by what other hosts report.
-    virtual bool is_known_silent(const std::string& peer) const = 0;
+    // Returns true if other hosts confirm that the peer is silent.
+    virtual bool is_reported_silent(const std::string& peer) const = 0;
     // The peer reported on a target of its host.
     virtual void on_target_report(const wire::target_report& report) = 0;
 };
--- a/src/node/peer_link_pings.cpp
+++ b/src/node/peer_link_pings.cpp
@@ -74,7 +74,7 @@
     if (!is_open()) {
         return false;
     }
-    if (link_silent || listener_.is_known_silent(peer_)) {
+    if (link_silent || listener_.is_reported_silent(peer_)) {
         handle_link_lost(peer_silent);
         return false;
     }
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -286,6 +286,11 @@
     return found == known.members_.end() ? member_state::alive : found->second.state_;
 }
 
+bool is_confirmed_by_others(const membership& known, std::string_view host) {
+    const auto found = known.members_.find(host);
+    return found != known.members_.end() && found->second.reports_.size() >= confirming_sources;
+}
+
 bool suggests_common_fault(const membership& known, const member_change& change) {
     if (change.to_ != member_state::suspected) {
         return change.to_ == member_state::silent;
