--- a/src/control/fleet_quota.cpp
+++ b/src/control/fleet_quota.cpp
@@ -165,7 +165,7 @@
         on_grant(grant(request, host_));
         return;
     }
-    // The first in rank has nobody to pass the request on to.
+    // The first in rank has no host to relay the request to.
     const bool first = state.owner_rank_ == 0;
     quota_peers_.ask(owner, request, first ? direct_reply_timeout : relay_reply_timeout);
 }
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -94,7 +94,7 @@
 void update_notices(membership& known, const std::string& name, member& host,
                     const member_change& change) {
     if (change.to_ != member_state::alive) {
-        // Peers could not tell whether a notice without a boot is about the present process.
+        // Without a boot, peers cannot relate the notice to the present process.
         if (host.boot_ != 0 && host.notices_left_ == 0 && !host.announced_) {
             announce(known, name, host);
         }
--- a/src/policy/membership.h
+++ b/src/policy/membership.h
@@ -142,7 +142,7 @@
 
 // Returns true if other hosts alone confirm that the host is silent. Together with an unanswered
 // ping of this process that ends its link; one report would not do, since links to a host that
-// stands still for a moment miss a ping at the same time.
+// is paused for a moment miss a ping at the same time.
 bool is_confirmed_by_others(const membership& known, std::string_view host);
 
 // Returns true if a change suggests that more hosts are silent for the same cause, so that all
--- a/tests/failing_targets_test.cpp
+++ b/tests/failing_targets_test.cpp
@@ -1,4 +1,4 @@
-// A service of many targets of which three in ten fail by turns, beside hosts that stand still, and
+// A service of many targets of which three in ten fail by turns, beside frozen hosts, and
 // callers that retry within their share of the fleet's budget. Without network.
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -17,7 +17,7 @@
 
 constexpr std::size_t host_count = 234;
 constexpr std::size_t target_count = 85;
-// Two in five hosts stand still, with the targets beside them.
+// Two in five hosts are frozen, with the targets beside them.
 constexpr std::size_t running_hosts = host_count * 3 / 5;
 constexpr std::size_t running_targets = target_count * 3 / 5;
 constexpr int requests_per_s = 82;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -120,7 +120,7 @@
     CHECK(take_notices(known, 10, start).empty());
 }
 
-// Guards against: a fleet that has heard it all goes on sending.
+// Guards against: a fleet in which all hosts have the notices keeps sending them.
 TEST_CASE("membership: a finding is sent a bounded number of times, less if others send it") {
     membership known = make_fleet(233);
     record_unanswered(known, "h0", start, false, start);
--- a/tests/process_membership_test.cpp
+++ b/tests/process_membership_test.cpp
@@ -1,4 +1,4 @@
-// What the processes of a fleet tell each other of hosts that do not answer.
+// The notices on silent hosts that the processes of a fleet exchange.
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
--- a/tests/quota_owner_test.cpp
+++ b/tests/quota_owner_test.cpp
@@ -63,7 +63,7 @@
     for (; now < start + base::milliseconds(400); now += retry_interval) {
         CHECK(ask_all(2, now) <= policy::quota_handover_delay);
     }
-    // A flood is still told to wait.
+    // A flood still gets a delay.
     constexpr std::int64_t flood_tokens = 50;
     for (; now < start + base::seconds(2); now += base::milliseconds(400)) {
         ask_all(flood_tokens, now);
--- a/tests/retry_loans_test.cpp
+++ b/tests/retry_loans_test.cpp
@@ -214,7 +214,7 @@
     CHECK(host.listener_.lent_ == 1);
 }
 
-// Guards against: a request hangs because the host that it asked stands still.
+// Guards against: a request hangs because the host that it asked is frozen.
 TEST_CASE("a host that does not reply is replaced by another one") {
     borrowing_host host(4);
     REQUIRE(host.loans_.request(service, host.listener_));
--- a/tests/support/quota_simulation.h
+++ b/tests/support/quota_simulation.h
@@ -225,7 +225,7 @@
         }
     }
 
-    // Has a host that stood still for long enough end its links and tell its quota.
+    // Has a host that was paused for long enough end its links and notify its quota.
     void notice_stall(simulated_host& host) {
         const base::instant last_run = std::exchange(host.last_run_at_, clock_.now());
         if (!faults_.links_watched_in_use_ || clock_.now() - last_run < stall_threshold) {
