Borrow a retry only for a target with a free slot

A borrowed retry is more load where a service is overloaded already.

A retry is borrowed only if the target that would get it seems to have a free slot. The new case of retry_test fails without the condition.

--- a/src/node/call_retries.cpp
+++ b/src/node/call_retries.cpp
@@ -107,6 +107,7 @@
     const auto same = resendable && !other_allowed ? find_resend_target(target) : std::nullopt;
     retry.same_target_ = same.has_value();
     const auto& next = same ? same : other;
+    retry.slot_free_ = next && next->free_slot_;
     retry.run_duration_ = next && !budget_exempt ? next->run_duration_ : base::duration::zero();
     if (outcome == policy::attempt_outcome::in_doubt && attempt_ != nullptr &&
         !attempt_->link_->failing()) {
--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -327,9 +327,11 @@
         const policy::candidate candidate = make_candidate(host, entry, listed->rule_, kind);
         const bool usable = !candidate.excluded_ && !candidate.stopping_ &&
                             !candidate.unreachable_ && !candidate.ejected_;
-        return usable ? std::optional(
-                            chosen_target{&host, &entry, false, false, candidate.run_duration_})
-                      : std::nullopt;
+        if (!usable) {
+            return std::nullopt;
+        }
+        return chosen_target{
+            &host, &entry, false, false, policy::has_free_slot(candidate), candidate.run_duration_};
     }
     return std::nullopt;
 }
@@ -359,8 +361,12 @@
     }
     const config::target_index& target_index = listed->targets_[chosen->index_];
     const config::host_entry& host = hosts.hosts_[target_index.host_];
-    return chosen_target{&host, &host.targets_[target_index.target_], chosen->allow_ejected_,
-                         chosen->trial_, candidates[chosen->index_].run_duration_};
+    return chosen_target{&host,
+                         &host.targets_[target_index.target_],
+                         chosen->allow_ejected_,
+                         chosen->trial_,
+                         policy::has_free_slot(candidates[chosen->index_]),
+                         candidates[chosen->index_].run_duration_};
 }
 
 }  // namespace dandelionridge::node
--- a/src/node/caller_proxy.h
+++ b/src/node/caller_proxy.h
@@ -44,6 +44,8 @@
     bool allow_ejected_ = false;
     // The attempt tests a target on trial.
     bool trial_ = false;
+    // The target seems to have a slot for the attempt.
+    bool free_slot_ = false;
     // Expected duration of the run; zero if unknown.
     base::duration run_duration_{};
 };
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -167,7 +167,7 @@
 
 bool may_borrow_retry(const retry_context& context, retry_decision decision) {
     return decision != retry_decision::retry && decision != retry_decision::wait &&
-           may_retry_within_budget(context);
+           context.slot_free_ && may_retry_within_budget(context);
 }
 
 // Returns true if the budget will most likely allow a retry while it can still end in time, after
--- a/src/policy/retry.h
+++ b/src/policy/retry.h
@@ -95,6 +95,8 @@
     bool may_have_run_before_ = false;
     // There is another target that may get the request.
     bool other_target_ = false;
+    // That target, or the one that may get the request once more, seems to have a free slot.
+    bool slot_free_ = false;
     // The target that lost the response may get the request once more. Attempts count targets, so
     // this is possible also on a route that allows no further attempt.
     bool same_target_ = false;
@@ -179,7 +181,8 @@
 bool may_retry_within_budget(const retry_context& context);
 
 // Returns true if only this host's share of the budget kept the request from a retry, so that
-// another host's share may serve it.
+// another host's share may serve it. Nothing is borrowed for a target without a free slot: where a
+// service is overloaded, each retry takes the place of a request that was not tried yet.
 bool may_borrow_retry(const retry_context& context, retry_decision decision);
 
 // Returns true if a request should wait for a budget that does not allow a retry now.
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -378,3 +378,20 @@
     context.outcome_ = unknown;
     CHECK(decide_retry(budget, {}, context, start) == retry_decision::retry);
 }
+
+// Guards against: in an overload, reads retried with the budget of other hosts take the slots of
+// requests that were not tried yet.
+TEST_CASE("a retry is borrowed only for a target with a free slot", "[policy][retry]") {
+    retry_context context;
+    context.outcome_ = attempt_outcome::failed;
+    context.idempotent_ = true;
+    context.replayable_ = true;
+    context.other_target_ = true;
+    context.time_left_ = base::seconds(9);
+    CHECK_FALSE(may_borrow_retry(context, retry_decision::forward_failure));
+    context.slot_free_ = true;
+    CHECK(may_borrow_retry(context, retry_decision::forward_failure));
+    CHECK_FALSE(may_borrow_retry(context, retry_decision::wait));
+    context.idempotent_ = false;
+    CHECK_FALSE(may_borrow_retry(context, retry_decision::forward_failure));
+}
