Do not take a peer's own reports for the pong of a lost ping

Any byte that had arrived since the last ping counted as its pong, and the peer asked for probes of its idle target each 400 ms, so that the stalled link was never found silent.

--- a/src/policy/link_liveness.h
+++ b/src/policy/link_liveness.h
@@ -22,8 +22,9 @@
 // Returns true if a ping awaits its pong.
 bool awaits_pong(const link_liveness& liveness);
 
-// Records the number of bytes received so far. Bytes that have arrived since the last ping stand
-// for its pong, which may wait behind them.
+// Records the number of bytes received so far. Many bytes that have arrived since the last ping
+// stand for its pong, which may wait behind them. A few do not: where the pings are lost, the peer
+// still sends reports of its own.
 void record_received(link_liveness& liveness, std::uint64_t received_bytes);
 
 // Returns true if a ping had no answer when the next one was sent, and nothing has been received
