Exclude only unasked probe requests from what stands for a pong

Its rule, that few bytes do not stand for a pong, had live hosts confirmed as silent where packets are lost (membership_spread_test, 2 of them); the old rule is back, and only a peer's requests for probes of its idle target do not count. The random part of a retry was also added where the budget has no slack, so that "a read whose link is lost goes to another target once the retry budget allows it" got its retry at once in some runs; without slack it is not added.

--- a/src/node/caller_proxy.cpp
+++ b/src/node/caller_proxy.cpp
@@ -214,7 +214,7 @@
         dependencies_.loop_.clock().now() - started_at_, settings.retry_window_);
     return {settings.retry_ratio_ * budget_share,
             settings.retry_slack_ * budget_share * slack_share / host_count, settings.retry_window_,
-            retry_rounding_};
+            settings.retry_slack_ > 0 ? retry_rounding_ : 0};
 }
 
 bool caller_proxy::may_retry(const std::string& service, bool nested) {
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -415,6 +415,9 @@
     } else if (frame.__isset.drain_) {
         listener_.on_peer_draining(peer_, true);
     } else if (frame.__isset.report_) {
+        if (frame.report_.idle) {
+            policy::disregard_received(liveness_, socket_->bytes_received());
+        }
         listener_.on_target_report(frame.report_);
     } else {
         listener_.on_control_frame(peer_, std::move(frame), make_reply_sender());
--- a/src/policy/link_liveness.cpp
+++ b/src/policy/link_liveness.cpp
@@ -8,9 +8,6 @@
 
 constexpr std::int64_t max_unanswered_pings = 2;
 
-// Bytes between two pings from which on a pong may wait behind them: more than a report has.
-constexpr std::uint64_t min_bytes_before_pong = 512;
-
 }  // namespace
 
 std::int64_t record_ping(link_liveness& liveness, std::uint64_t received_bytes) {
@@ -27,12 +24,16 @@
 }
 
 void record_received(link_liveness& liveness, std::uint64_t received_bytes) {
-    if (received_bytes >= liveness.received_bytes_ + min_bytes_before_pong) {
+    if (received_bytes != liveness.received_bytes_) {
         liveness.received_bytes_ = received_bytes;
         liveness.last_pong_ = liveness.last_ping_;
     }
 }
 
+void disregard_received(link_liveness& liveness, std::uint64_t received_bytes) {
+    liveness.received_bytes_ = received_bytes;
+}
+
 bool is_suspected(const link_liveness& liveness, std::uint64_t received_bytes) {
     return liveness.last_ping_ - liveness.last_pong_ > 1 &&
            received_bytes == liveness.received_bytes_;
--- a/src/policy/link_liveness.h
+++ b/src/policy/link_liveness.h
@@ -22,11 +22,14 @@
 // Returns true if a ping awaits its pong.
 bool awaits_pong(const link_liveness& liveness);
 
-// Records the number of bytes received so far. Many bytes that have arrived since the last ping
-// stand for its pong, which may wait behind them. A few do not: where the pings are lost, the peer
-// still sends reports of its own.
+// Records the number of bytes received so far. Bytes that have arrived since the last ping stand
+// for its pong, which may wait behind them.
 void record_received(link_liveness& liveness, std::uint64_t received_bytes);
 
+// Excludes the bytes received so far from those that stand for a pong: the peer sent them unasked,
+// as it also does where the pings are lost.
+void disregard_received(link_liveness& liveness, std::uint64_t received_bytes);
+
 // Returns true if a ping had no answer when the next one was sent, and nothing has been received
 // since. The peer may be silent, but the link is not given up yet.
 bool is_suspected(const link_liveness& liveness, std::uint64_t received_bytes);
