Let the hosts that watch the store ask each other, and count replies instead of links

Cause: a host asked the watching host of its zone as long as the link to it was up, whatever that host knew; a watching host whose store is silent knows of it only once its watch times out, and asked nobody until then.

Change: watching hosts ask each other in turn four times a second and pull after 150 ms what their own watch should have brought. The others go by replies: without one, or with one that is older than two watches or comes from a host that rejected the newest version, they ask two watching hosts of other zones.

The store stub has relaxed reads that lag, and its silence covers calls that wait.

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -201,6 +201,13 @@
     return confirmed_at_ ? now - *confirmed_at_ : base::duration::max();
 }
 
+bool configuration::rejects_newest() const {
+    const auto rejects = [](const config_value_state& state) {
+        return state.rejected_ && state.rejected_->version_ > state.lines_.version_;
+    };
+    return rejects(rules_state_) || rejects(hosts_state_);
+}
+
 bool configuration::ready() const {
     return rules_state_.lines_.version_ > 0 && hosts_state_.lines_.version_ > 0;
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -140,6 +140,9 @@
     // Returns true once both values have a version.
     bool ready() const;
 
+    // Returns true if the newest version of a value was rejected, so that an older one is in force.
+    bool rejects_newest() const;
+
     // Adds a listener that is called after each accepted version.
     void on_accepted(std::function<void(config_value_kind)> listener);
 
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -1,12 +1,10 @@
 #include "control/gossip.h"
 
 #include <algorithm>
+#include <map>
 #include <numeric>
-#include <set>
 #include <utility>
 
-#include "policy/store_watchers.h"
-
 namespace dandelionridge::control {
 
 namespace {
@@ -15,6 +13,11 @@
 constexpr std::size_t sampled_hosts = 2;
 // Further delay of a pull from another zone, in which a peer of the own zone may offer the version.
 constexpr base::duration other_zone_delay = base::milliseconds(250);
+// Number of rounds between the hosts that watch the platform in one round of the others: what such
+// a host lacks, all others of its zone lack too.
+constexpr int watcher_rounds = 2;
+// Delay of a pull between hosts that watch the platform, in which the own watch may still deliver.
+constexpr base::duration watcher_pull_delay = base::milliseconds(150);
 constexpr base::duration pending_request_expiry = base::seconds(10);
 // Time after which a process with a configuration serves even if it could not compare it with its
 // peers.
@@ -89,38 +92,33 @@
       random_(random),
       copy_budget_(policy::make_copy_budget(options_.link_bytes_per_second_, clock.now())) {
     view_.self_ = options_.host_;
+    watchers_.next_zone_ = random_();
+    watchers_.next_other_ = random_();
 }
 
 void gossip::on_hosts_changed() {
     std::vector<std::string> members;
-    std::set<std::string> zones = {options_.zone_};
+    std::map<std::string, std::vector<std::string>> hosts_by_zone;
     other_zone_hosts_.clear();
     for (const config::host_entry& host : configuration_.hosts()->hosts_) {
-        if (host.zone_ == options_.zone_) {
-            members.push_back(host.name_);
-        } else {
-            other_zone_hosts_.push_back(host.name_);
-            zones.insert(host.zone_);
-        }
+        (host.zone_ == options_.zone_ ? members : other_zone_hosts_).push_back(host.name_);
+        hosts_by_zone[host.zone_].push_back(host.name_);
     }
     policy::set_members(view_, configuration_.version(config_value_kind::hosts),
                         std::move(members));
-    platform_watchers_ = policy::store_watchers(view_.members_, zones.size());
+    policy::set_hosts(watchers_, hosts_by_zone, options_.zone_, options_.host_);
     if (!synchronized_) {
         next_round_ = {};
     }
 }
 
-bool gossip::watches_platform() const {
-    return policy::is_store_watcher(platform_watchers_, options_.host_);
-}
-
 wire::config_versions gossip::versions() const {
     wire::config_versions versions;
     versions.rules = configuration_.shared_version(config_value_kind::rules);
     versions.hosts = configuration_.shared_version(config_value_kind::hosts);
     const auto age = base::whole_ms(configuration_.confirmed_age(clock_.now()));
-    versions.confirmed_age_ms = std::min(age, max_reported_age_ms);
+    versions.confirmed_age_ms =
+        configuration_.rejects_newest() ? max_reported_age_ms : std::min(age, max_reported_age_ms);
     return versions;
 }
 
@@ -157,55 +155,84 @@
     const base::instant now = clock_.now();
     pull_from_known_source(config_value_kind::rules);
     pull_from_known_source(config_value_kind::hosts);
-    const bool watches = platform_available && !options_.strict_ && watches_platform();
-    if (now < next_round_ || watches) {
+    if (!options_.strict_ && watches_platform()) {
+        exchange_between_watchers(now);
+    }
+    if (now < next_round_) {
         return;
     }
     next_round_ = now + options_.interval_;
     std::erase_if(pending_requests_, [&](const auto& entry) {
         return now - entry.second.requested_at_ > pending_request_expiry;
     });
-    if (platform_available && !options_.strict_) {
-        request_watchers_view();
-        return;
-    }
+    request_views(platform_available);
+}
+
+void gossip::request_views(bool platform_available) {
     if (options_.strict_) {
         for (const std::string& member : view_.members_) {
             if (member != options_.host_) {
                 request_view(member);
             }
         }
-    } else {
+        request_some_views(other_zone_hosts_);
+        return;
+    }
+    if (!watches_platform()) {
+        request_watchers_view();
+    }
+    if (!platform_available) {
         request_some_views(view_.members_);
+        request_some_views(other_zone_hosts_);
     }
-    request_some_views(other_zone_hosts_);
 }
 
-// Asks one host of the zone that reads the platform with current reads, or some of other zones if
-// none of them can be reached. A host that has lately learnt of a newer version is about to pull
-// it, and asking adds to the load of those that send it.
-void gossip::request_watchers_view() {
+// A host that has lately learnt of a newer version is about to pull it, and asking adds to the load
+// of those that send it.
+bool gossip::pulls_from_peer() const {
     const base::duration usual_pull_time = options_.platform_lead_ + 2 * options_.interval_;
     const auto pulls = [&](const value_exchange& exchange) {
         const auto behind_since = exchange.pull_.behind_since_;
         return behind_since && clock_.now() - *behind_since < usual_pull_time;
     };
-    if (pulls(rules_exchange_) || pulls(hosts_exchange_)) {
+    return pulls(rules_exchange_) || pulls(hosts_exchange_);
+}
+
+void gossip::request_watchers_view() {
+    if (pulls_from_peer()) {
         return;
     }
-    std::vector<std::string> reachable;
-    for (const std::string& watcher : platform_watchers_) {
-        if (peers_.reachable(watcher)) {
-            reachable.push_back(watcher);
-        }
+    for (const std::string& watcher : policy::watchers_to_ask(watchers_, reachable_check())) {
+        request_view(watcher);
     }
-    if (!reachable.empty()) {
-        request_view(reachable[base::random_below(random_, reachable.size())]);
-    } else {
-        request_some_views(other_zone_hosts_);
+}
+
+// Requests the view of one other host that watches the platform.
+void gossip::exchange_between_watchers(base::instant now) {
+    if (now < next_watcher_round_) {
+        return;
+    }
+    next_watcher_round_ = now + options_.interval_ / watcher_rounds;
+    if (const auto watcher = policy::next_watcher(watchers_, reachable_check())) {
+        request_view(*watcher);
     }
 }
 
+// Requests the view of other zones' watching hosts if that of the own zone learns nothing new.
+void gossip::record_watcher_reply(const std::string& peer, bool recent) {
+    if (watches_platform() || options_.strict_) {
+        return;
+    }
+    for (const std::string& other :
+         policy::record_reply(watchers_, peer, recent, reachable_check())) {
+        request_view(other);
+    }
+}
+
+policy::reachable_check gossip::reachable_check() const {
+    return [this](const std::string& host) { return peers_.reachable(host); };
+}
+
 void gossip::request_some_views(const std::vector<std::string>& hosts) {
     for (std::size_t i = 0; i < sampled_hosts && !hosts.empty(); ++i) {
         const std::string& peer = hosts[base::random_below(random_, hosts.size())];
@@ -246,7 +273,10 @@
     // The peer measured the age after the request was sent, so the platform's confirmation is not
     // older than that age before the request.
     other_zone_replied_ = other_zone_replied_ || !is_in_zone(peer);
-    configuration_.confirm(requested_at - base::milliseconds(reply.versions.confirmed_age_ms));
+    const base::instant confirmed_at =
+        requested_at - base::milliseconds(reply.versions.confirmed_age_ms);
+    configuration_.confirm(confirmed_at);
+    record_watcher_reply(peer, clock_.now() - confirmed_at <= options_.max_view_age_);
     on_versions(peer, reply.versions, send_reply);
 }
 
@@ -258,10 +288,13 @@
     if (options_.strict_) {
         return base::duration::zero();
     }
-    if (!platform_failing_) {
-        return options_.platform_lead_;
+    if (platform_failing_) {
+        return is_in_zone(peer) ? base::duration::zero() : other_zone_delay;
+    }
+    if (watches_platform() && policy::is_watcher(watchers_, peer)) {
+        return watcher_pull_delay;
     }
-    return is_in_zone(peer) ? base::duration::zero() : other_zone_delay;
+    return options_.platform_lead_ + (is_in_zone(peer) ? base::duration::zero() : other_zone_delay);
 }
 
 void gossip::on_versions(const std::string& peer, const wire::config_versions& seen,
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -4,7 +4,8 @@
 // Every message on a link carries the versions of its sender, so a process that lags behind learns
 // of it with the first message and pulls the newer version from the sender. A process that has lost
 // the platform, or that must know how recent its view is, requests the versions of its peers.
-// One that reads the platform with reads that may be old requests those of the hosts that do not.
+// One that reads the platform with reads that may be old requests those of the hosts that do not,
+// and these request each other's.
 #pragma once
 
 #include <cstdint>
@@ -19,6 +20,7 @@
 #include "control/peer_sender.h"
 #include "policy/config_pull.h"
 #include "policy/copy_budget.h"
+#include "policy/store_watchers.h"
 #include "policy/zone_view.h"
 #include "wire/gen/fleet_types.h"
 
@@ -35,6 +37,9 @@
     // Time within which the platform usually delivers a version that a peer has already. Only then
     // is it pulled from the peer: whole configurations are large, and bytes between zones are dear.
     base::duration platform_lead_{};
+    // Age of the platform's confirmation above which a host that watches it is not relied on alone.
+    // A watch confirms what was in force when it began, so the age grows to two waits.
+    base::duration max_view_age_ = base::seconds(5);
     // What this host's link carries. A part of it bounds what is sent to peers.
     double link_bytes_per_second_ = 0;
 };
@@ -91,7 +96,7 @@
     wire::config_versions versions() const;
 
     // Returns true if this host is one of those that watch the platform with current reads.
-    bool watches_platform() const;
+    bool watches_platform() const { return watchers_.watches_; }
 
     // Returns true once this process may serve. In strict mode it must first have compared both
     // values with more than half of its zone and, if there are other zones, with a host of one of
@@ -116,7 +121,12 @@
     };
 
     void request_view(const std::string& peer);
+    void request_views(bool platform_available);
     void request_watchers_view();
+    void exchange_between_watchers(base::instant now);
+    void record_watcher_reply(const std::string& peer, bool recent);
+    policy::reachable_check reachable_check() const;
+    bool pulls_from_peer() const;
     void request_some_views(const std::vector<std::string>& hosts);
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
                         const frame_sender& send_reply);
@@ -135,13 +145,15 @@
     gossip_options options_;
     policy::zone_view view_;
     std::vector<std::string> other_zone_hosts_;
-    // Hosts of this zone that watch the platform with current reads.
-    std::vector<std::string> platform_watchers_;
+    // Hosts that watch the platform with current reads.
+    policy::watcher_view watchers_;
     base::random_engine random_;
     // Version requests that await a reply, by nonce.
     std::unordered_map<std::int64_t, pending_request> pending_requests_;
     std::int64_t next_nonce_ = 1;
     base::instant next_round_{};
+    // The next round between the hosts that watch the platform.
+    base::instant next_watcher_round_{};
     // Time at which both values were first found to have a version.
     std::optional<base::instant> ready_at_;
     std::int64_t newest_rules_seen_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,8 +16,8 @@
 // Number of times that each host of the zone is asked for its versions within `view_bound_`, which
 // is the maximum age of the replies.
 constexpr int view_requests_per_bound = 4;
-// Time that a change takes from the platform to a host whose watch is waiting, at most.
-constexpr base::duration platform_lead_margin = base::milliseconds(100);
+// Time that a watch without changes takes beyond its wait, at most.
+constexpr base::duration watch_margin = base::seconds(1);
 constexpr double bytes_per_megabit = 1'000'000.0 / 8;
 // The source of versions that were read from the platform, in events.
 constexpr const char* platform_source = "platform";
@@ -65,8 +65,8 @@
       recorded_hosts_(configuration_.hosts()),
       gossip_(clock, configuration_, *this,
               {settings_.host_, settings_.zone_, settings_.view_bound_ / view_requests_per_bound,
-               settings_.strict_freshness_, config::gather_time(settings_) + platform_lead_margin,
-               settings_.link_mbps_ * bytes_per_megabit}),
+               settings_.strict_freshness_, config::gather_time(settings_),
+               2 * settings_.watch_wait_ + watch_margin, settings_.link_mbps_ * bytes_per_megabit}),
       quota_(clock, configuration_, *this, settings_.host_,
              {settings_.quota_window_, settings_.quota_overage_, settings_.quota_slack_}),
       quota_log_(clock, events_),
--- a/src/policy/store_watchers.cpp
+++ b/src/policy/store_watchers.cpp
@@ -1,11 +1,39 @@
 #include "policy/store_watchers.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
 namespace dandelionridge::policy {
 
+namespace {
+
+// Returns the next reachable host of a list and moves `turn` behind it.
+std::optional<std::string> take_turn(std::span<const std::string> hosts, std::size_t& turn,
+                                     const reachable_check& reachable) {
+    for (std::size_t tried = 0; tried < hosts.size(); ++tried) {
+        const std::string& host = hosts[turn++ % hosts.size()];
+        if (reachable(host)) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+// Adds the next hosts of other zones to the hosts asked.
+void append_others(std::vector<std::string>& asked, watcher_view& view,
+                   const reachable_check& reachable) {
+    const std::size_t count = std::min(other_watchers_asked, view.others_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        if (auto other = take_turn(view.others_, view.next_other_, reachable)) {
+            asked.push_back(std::move(*other));
+        }
+    }
+}
+
+}  // namespace
+
 std::size_t watchers_per_zone(std::size_t zones) {
     const std::size_t known_zones = std::max<std::size_t>(1, zones);
     return (min_fleet_watchers + known_zones - 1) / known_zones;
@@ -21,8 +49,60 @@
     return watchers;
 }
 
-bool is_store_watcher(std::span<const std::string> watchers, const std::string& host) {
-    return watchers.empty() || std::find(watchers.begin(), watchers.end(), host) != watchers.end();
+void set_hosts(watcher_view& view, const std::map<std::string, std::vector<std::string>>& hosts,
+               const std::string& zone, const std::string& self) {
+    const std::vector<std::string> known_zone = std::exchange(view.zone_, {});
+    view.others_.clear();
+    view.watches_ = false;
+    for (const auto& [name, zone_hosts] : hosts) {
+        for (std::string& watcher : store_watchers(zone_hosts, hosts.size())) {
+            if (watcher == self) {
+                view.watches_ = true;
+            } else {
+                (name == zone ? view.zone_ : view.others_).push_back(std::move(watcher));
+            }
+        }
+    }
+    view.zone_replied_ = view.zone_replied_ && view.zone_ == known_zone;
+}
+
+std::vector<std::string> watchers_to_ask(watcher_view& view, const reachable_check& reachable) {
+    std::vector<std::string> asked;
+    if (auto of_zone = take_turn(view.zone_, view.next_zone_, reachable)) {
+        asked.push_back(std::move(*of_zone));
+    }
+    const bool zone_replied = std::exchange(view.zone_replied_, false);
+    view.asked_others_ = !zone_replied || asked.empty();
+    if (!view.asked_others_) {
+        return asked;
+    }
+    append_others(asked, view, reachable);
+    return asked;
+}
+
+std::optional<std::string> next_watcher(watcher_view& view, const reachable_check& reachable) {
+    std::vector<std::string> watchers = view.zone_;
+    watchers.insert(watchers.end(), view.others_.begin(), view.others_.end());
+    return take_turn(watchers, view.next_other_, reachable);
+}
+
+std::vector<std::string> record_reply(watcher_view& view, const std::string& host, bool recent,
+                                      const reachable_check& reachable) {
+    std::vector<std::string> asked;
+    if (std::find(view.zone_.begin(), view.zone_.end(), host) == view.zone_.end()) {
+        return asked;
+    }
+    view.zone_replied_ = view.zone_replied_ || recent;
+    if (!recent && !std::exchange(view.asked_others_, true)) {
+        append_others(asked, view, reachable);
+    }
+    return asked;
+}
+
+bool is_watcher(const watcher_view& view, const std::string& host) {
+    const auto is_host = [&](const std::string& watcher) { return watcher == host; };
+    return std::any_of(view.zone_.begin(), view.zone_.end(), is_host) ||
+           std::any_of(view.others_.begin(), view.others_.end(), is_host);
 }
 
 }  // namespace dandelionridge::policy
--- a/tests/support/store_stub.cpp
+++ b/tests/support/store_stub.cpp
@@ -35,7 +35,8 @@
         : store_(store),
           exchange_(exchange),
           path_(std::move(path)),
-          wait_timer_(store.thread_.loop()) {
+          wait_timer_(store.thread_.loop()),
+          lag_timer_(store.thread_.loop()) {
         {
             const std::lock_guard lock(store_.mutex_);
             store_.calls_.push_back(path_);
@@ -53,19 +54,30 @@
     // Responds to a watch if events after its revision exist, or with 410 if they were compacted or
     // the store does not have that revision.
     void send_new_events() {
+        if (store_.fault_ == store_fault::silent) {
+            return;
+        }
         const std::int64_t after = query_number(path_, "after");
         if (after < store_.state_.compacted_revision_ || after > store_.state_.revision_) {
             respond(410, json::object());
             return;
         }
         json events = json::array();
+        std::int64_t revision = store_.state_.revision_;
         for (const store_stub::change& item : store_.state_.history_) {
-            if (item.revision_ > after) {
-                events.push_back(to_json(item));
+            if (item.revision_ <= after) {
+                continue;
+            }
+            if (const base::duration hidden_for = time_until_visible(item);
+                hidden_for.count() > 0) {
+                lag_timer_.start(hidden_for, [this] { send_new_events(); });
+                revision = item.revision_ - 1;
+                break;
             }
+            events.push_back(to_json(item));
         }
         if (!events.empty()) {
-            respond(200, {{"events", events}, {"storeRevision", store_.state_.revision_}});
+            respond(200, {{"events", events}, {"storeRevision", revision}});
         }
     }
 
@@ -103,12 +115,23 @@
         send_new_events();
         if (!responded_) {
             wait_timer_.start(base::milliseconds(query_number(path_, "waitMs")), [this] {
-                respond(200,
-                        {{"events", json::array()}, {"storeRevision", store_.state_.revision_}});
+                if (store_.fault_ == store_fault::silent) {
+                    return;
+                }
+                const std::int64_t after = query_number(path_, "after");
+                respond(200, {{"events", json::array()}, {"storeRevision", after}});
             });
         }
     }
 
+    // Returns how long a change stays hidden from this call.
+    base::duration time_until_visible(const store_stub::change& item) const {
+        if (path_.find("serializable=1") == std::string::npos) {
+            return {};
+        }
+        return item.written_at_ + store_.relaxed_lag_ - store_.thread_.loop().clock().now();
+    }
+
     static json to_json(const store_stub::change& item) {
         if (item.deleted_) {
             return {{"key", item.key_}, {"revision", item.revision_}, {"deleted", true}};
@@ -171,6 +194,7 @@
     net::http_exchange& exchange_;
     std::string path_;
     net::timer wait_timer_;
+    net::timer lag_timer_;
     bool responded_ = false;
 };
 
@@ -204,7 +228,7 @@
 }
 
 void store_stub::write(const std::string& key, const std::string& value) {
-    state_.items_[key] = {key, value, ++state_.revision_, false};
+    state_.items_[key] = {key, value, ++state_.revision_, false, thread_.loop().clock().now()};
     state_.history_.push_back(state_.items_[key]);
 }
 
@@ -218,7 +242,8 @@
 void store_stub::erase(const std::string& key) {
     thread_.run([&] {
         state_.items_.erase(key);
-        state_.history_.push_back({key, "", ++state_.revision_, true});
+        state_.history_.push_back(
+            {key, "", ++state_.revision_, true, thread_.loop().clock().now()});
         notify_watchers();
     });
 }
@@ -264,6 +289,10 @@
     thread_.run([&] { fault_ = fault; });
 }
 
+void store_stub::set_relaxed_lag(base::duration lag) {
+    thread_.run([&] { relaxed_lag_ = lag; });
+}
+
 std::vector<std::string> store_stub::calls() const {
     const std::lock_guard lock(mutex_);
     return calls_;
--- a/tests/support/store_stub.h
+++ b/tests/support/store_stub.h
@@ -27,7 +27,7 @@
     over_rate,
     // Closes the connection without a response.
     reset,
-    // Never responds.
+    // Never responds, not to calls that wait either.
     silent,
     // Responds with a body that is not JSON.
     garbage,
@@ -41,6 +41,7 @@
         std::string value_;
         std::int64_t revision_ = 0;
         bool deleted_ = false;
+        base::instant written_at_{};
     };
 
 public:
@@ -82,6 +83,9 @@
     // Sets the fault with which later calls are handled.
     void set_fault(store_fault fault);
 
+    // Makes relaxed watches show the store as it was this long ago.
+    void set_relaxed_lag(base::duration lag);
+
     // Returns the paths and queries of the calls so far.
     std::vector<std::string> calls() const;
 
@@ -100,6 +104,7 @@
     std::string named_era_;
     std::optional<copy> restored_at_next_page_;
     store_fault fault_ = store_fault::none;
+    base::duration relaxed_lag_{};
     std::set<store_handler*> watchers_;
     mutable std::mutex mutex_;
     std::vector<std::string> calls_;
