Let requests with large bodies wait for a slot like all others

Cause: a body over the request window (64 kB) is not kept. Its first part went out with the first attempt, so when that target had no free slot the request could not be sent to another one, nor once more to wait. Two faults beside it: a caller that left while its body was not read went unnoticed until the deadline, and a cancelled run whose body will never be whole kept its slot as long.

Change: a body that is not kept whole waits for its slot, at any distance and for every kind, as large uploads to other zones did. A connection whose body is not read is checked for the caller's end every 200 ms. A cancelled run without its whole body ends. The price is one exchange of messages before a large body. Beside programs that grant no bodies all is as before.

The stub of a target counted a chunked request twice, before and after its body; it now counts it once.

Memory with 200 such callers is not measured yet.

--- a/src/net/byte_socket.cpp
+++ b/src/net/byte_socket.cpp
@@ -4,6 +4,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -153,6 +154,11 @@
     return wsi_ != nullptr && ioctl(fd_, FIONREAD, &arrived) == 0 && arrived > 0;
 }
 
+bool byte_socket::peer_has_closed() const {
+    pollfd state{fd_, POLLRDHUP, 0};
+    return wsi_ != nullptr && poll(&state, 1, 0) > 0 && state.revents != 0;
+}
+
 std::size_t byte_socket::unacknowledged() const {
     if (wsi_ == nullptr) {
         return unacknowledged_at_close_;
--- a/src/net/byte_socket.h
+++ b/src/net/byte_socket.h
@@ -86,6 +86,10 @@
     // Returns true if bytes have arrived that on_bytes() has not passed on yet.
     bool has_unread() const;
 
+    // Returns true if the peer has closed the connection, also while reading is paused and bytes
+    // that it sent before are unread.
+    bool peer_has_closed() const;
+
     // Returns the number of queued bytes that are not yet sent.
     std::size_t unsent() const { return output_.size() - written_; }
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -22,12 +22,18 @@
 // closing a connection with unread bytes resets it, and the response may be lost.
 constexpr base::duration linger_time = base::seconds(1);
 
+// Time between two checks whether a caller has left whose body is not read.
+constexpr base::duration paused_check_interval = base::milliseconds(200);
+
 constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
 
 server_connection::server_connection(http_server& server, std::unique_ptr<byte_socket> socket)
-    : server_(server), socket_(std::move(socket)), timer_(server.loop_) {
+    : server_(server),
+      socket_(std::move(socket)),
+      timer_(server.loop_),
+      paused_timer_(server.loop_) {
     idle_since_ = server_.loop_.clock().now();
     wait_for_request();
 }
@@ -72,6 +78,7 @@
     }
     dropped_ = true;
     timer_.cancel();
+    paused_timer_.cancel();
     socket_->close();
     while (!exchanges_.empty()) {
         end_last();
@@ -193,6 +200,22 @@
     } else {
         socket_->resume();
     }
+    if (by_handler) {
+        watch_paused_caller();
+    } else {
+        paused_timer_.cancel();
+    }
+}
+
+// A caller may leave while its body waits, which reading would show.
+void server_connection::watch_paused_caller() {
+    paused_timer_.start(paused_check_interval, [this] {
+        if (socket_->peer_has_closed()) {
+            drop();
+        } else {
+            watch_paused_caller();
+        }
+    });
 }
 
 void server_connection::on_bytes(std::string_view bytes) {
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -79,6 +79,7 @@
     void end_behind(std::size_t last);
     void refuse(int status, std::string_view message);
     void send_refusal(const refusal& error);
+    void watch_paused_caller();
     void wait_for_request();
     void on_idle_timeout();
     void linger();
@@ -90,6 +91,8 @@
     // Closes a connection that is idle or lingers, or refuses a request whose head is not received
     // in time.
     timer timer_;
+    // Checks whether a caller whose body is not read has left.
+    timer paused_timer_;
     // When the connection last became idle.
     base::instant idle_since_{};
     // Bytes received but not yet read.
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -193,6 +193,7 @@
     void end_without_retry(policy::retry_decision decision, filter::reason reason);
     void on_deadline();
     void send_pending_body();
+    bool fits_in_window() const;
     bool replayable() const;
     std::size_t unsent_body() const;
     policy::run_kind run_kind() const;
--- a/src/node/call_body.cpp
+++ b/src/node/call_body.cpp
@@ -24,8 +24,16 @@
 // that the target proxy grants credit for it.
 bool call::body_waits(const chosen_target& chosen) const {
     return has_body() &&
-           policy::body_waits_for_slot(
-               {context_.idempotent_, context_.request_.body_length_, chosen.distance_});
+           policy::body_waits_for_slot({context_.idempotent_, context_.request_.body_length_,
+                                        chosen.distance_, fits_in_window()});
+}
+
+// Returns true if the whole body is, or will be, buffered at once.
+bool call::fits_in_window() const {
+    const std::uint64_t length =
+        body_ended_ ? body_.size()
+                    : context_.request_.body_length_.value_or(request_window_bytes + 1);
+    return replayable() && length <= static_cast<std::uint64_t>(request_window_bytes);
 }
 
 // Returns true if the body is still buffered from its beginning.
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -251,9 +251,9 @@
         finish(*attempt);
         return;
     }
-    if (attempt->running() && !attempt->begin().idempotent) {
+    if (attempt->running() && !attempt->begin().idempotent && !attempt->request_body_incomplete()) {
         // A non-idempotent run is not interrupted: a partly executed request is worse than one
-        // whose response nobody receives.
+        // whose response nobody receives. Without its whole body it has not begun.
         attempt->discard_response();
         return;
     }
--- a/src/policy/locality.cpp
+++ b/src/policy/locality.cpp
@@ -320,6 +320,9 @@
 }
 
 bool body_waits_for_slot(const body_wait_context& context) {
+    if (!context.kept_) {
+        return true;
+    }
     const bool large =
         !context.body_length_ || static_cast<double>(*context.body_length_) > heavy_body_bytes;
     return !context.idempotent_ && large && context.distance_ != distance::same_zone;
--- a/src/policy/locality.h
+++ b/src/policy/locality.h
@@ -87,10 +87,13 @@
     // Length of the body; nothing if it is sent in chunks.
     std::optional<std::uint64_t> body_length_;
     distance distance_ = distance::same_zone;
+    // The whole body is buffered, so that another attempt can send it again.
+    bool kept_ = true;
 };
 
-// Returns true if the body is to be sent only once the request has a slot, so that it does not
-// cross a border only to be refused.
+// Returns true if the body is to be sent only once the request has a slot. Otherwise one that is
+// not kept could be sent to a single target only, and be refused for good if that has no free slot,
+// and a large one would cross a border only to be refused.
 bool body_waits_for_slot(const body_wait_context& context);
 
 // A choice by locality.
--- a/tests/locality_test.cpp
+++ b/tests/locality_test.cpp
@@ -488,6 +488,10 @@
     CHECK_FALSE(body_waits_for_slot({false, 60'000, distance::same_zone}));
     CHECK_FALSE(body_waits_for_slot({false, 2'000, distance::other_region}));
     CHECK_FALSE(body_waits_for_slot({true, 60'000, distance::other_region}));
+    // One that is not kept cannot be sent to a second target, whatever the distance and kind.
+    CHECK(body_waits_for_slot({false, 200'000, distance::same_zone, false}));
+    CHECK(body_waits_for_slot({true, 200'000, distance::same_zone, false}));
+    CHECK(body_waits_for_slot({true, std::nullopt, distance::other_region, false}));
 }
 
 // Guards against a change of the choices of deployments in which locality is off. The expected
--- a/tests/support/target_stub.cpp
+++ b/tests/support/target_stub.cpp
@@ -49,7 +49,7 @@
         for (const net::http_header& header : request_.headers_) {
             target_.record_text(header.name_ + ": " + header.value_ + "\n");
         }
-        if (request_.body_length_.value_or(0) == 0) {
+        if (!request_.chunked_ && request_.body_length_.value_or(0) == 0) {
             run();
         }
     }
