Tell peers of silent hosts by turns instead of drawing each anew

Cause, by the numbers of the code: a host passes an entry on five times (bit width of 4 peers + 2) to an open link drawn anew each time, so that five notices miss one of three peers with (2/3)^5 = 13%.

--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -115,22 +115,20 @@
     return found == current_links_.end() ? base::instant{} : found->second->last_heard();
 }
 
-peer_link* link_pool::random_open_link(
-    const std::function<bool(const std::string& host)>& eligible) {
-    if (links_.empty()) {
-        return nullptr;
-    }
-    auto next = links_.begin();
-    std::advance(next, static_cast<std::ptrdiff_t>(base::random_below(random_, links_.size())));
-    for (std::size_t i = 0; i < std::min(max_checked_links, links_.size()); ++i) {
-        if (next->second->is_open() && eligible(next->second->peer())) {
-            return next->second.get();
+peer_link* link_pool::next_open_link(const std::function<bool(const std::string& host)>& eligible) {
+    const auto list_peers = [this] {
+        std::vector<std::string> peers;
+        for (const auto& [host, link] : current_links_) {
+            peers.push_back(host);
         }
-        if (++next == links_.end()) {
-            next = links_.begin();
-        }
-    }
-    return nullptr;
+        return peers;
+    };
+    const auto takes_turn = [&](const std::string& host) {
+        const auto found = current_links_.find(host);
+        return found != current_links_.end() && found->second->is_open() && eligible(host);
+    };
+    const auto peer = policy::next_peer(turns_, list_peers, takes_turn, random_);
+    return peer ? current_links_.at(*peer) : nullptr;
 }
 
 bool link_pool::is_reachable(const std::string& host) const {
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -12,6 +12,7 @@
 #include "base/random.h"
 #include "config/host_list.h"
 #include "node/peer_link.h"
+#include "policy/peer_turns.h"
 
 namespace dandelionridge::node {
 
@@ -29,8 +30,9 @@
     // Returns when the newest frame of that host arrived on its current link.
     base::instant last_heard(const std::string& host) const;
 
-    // Returns an open link to a random host that is eligible, or null if a short search finds none.
-    peer_link* random_open_link(const std::function<bool(const std::string& host)>& eligible);
+    // Returns an open link to the next host that is eligible, or null if there is none. All hosts
+    // are taken once, in random order, before one is taken again.
+    peer_link* next_open_link(const std::function<bool(const std::string& host)>& eligible);
 
     // Returns the link to a host at its current address, or null if there is none.
     const peer_link* find(const config::host_entry& host) const;
@@ -70,6 +72,7 @@
     bool keeps_all_open_ = true;
     base::instant last_check_{};
     base::random_engine random_;
+    policy::peer_turns turns_;
 };
 
 }  // namespace dandelionridge::node
--- a/src/node/member_view.cpp
+++ b/src/node/member_view.cpp
@@ -203,7 +203,7 @@
     };
     for (std::size_t i = 0; i < notices_per_interval && !known_.notices_.empty(); ++i) {
         const base::instant now = clock_.now();
-        peer_link* link = links_.random_open_link(is_alive);
+        peer_link* link = links_.next_open_link(is_alive);
         if (link == nullptr || !policy::overdraw(bytes_, 0, now)) {
             return;
         }
