--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -35,12 +35,12 @@
 
 service_rank rank_of(const waiting_request& request, base::instant now) {
     if (request.nested_) {
-        return {nested_group, request.priority_, false};
+        return {.group_ = nested_group, .priority_ = request.priority_};
     }
     if (request.background_) {
-        return {background_group, request.priority_, false};
+        return {.group_ = background_group, .priority_ = request.priority_};
     }
-    return {foreground_group, request.priority_, !on_time(request, now)};
+    return {foreground_group, !on_time(request, now), request.priority_};
 }
 
 // Returns the longest time that those have waited which are served before a newly arrived request.
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -2,9 +2,9 @@
 //
 // Pattern: deadline-aware priority queue with weighted fair sharing. Requests made by running
 // requests go first, since each of those holds a slot elsewhere, and background requests go last.
-// The others are served by priority. Within a priority, requests that can still meet their
-// objective go before late ones, and the order is then fair between organisations, then by arrival.
-// A late urgent request thus goes before less urgent ones that are on time. The wait is
+// Of the others, those that can still meet their objective go before late ones, whatever their
+// priority: a slot that a late one takes makes a further request late. Within both, the order is by
+// priority, then fair between organisations, then by arrival. The wait is
 // predicted by the head-of-line delay, which holds while the target's speed changes, and by the
 // requests that go before in the fair order: those that another organisation has waiting beyond its
 // share do not count.
@@ -48,9 +48,9 @@
 struct service_rank {
     // 0 for nested requests, 2 for background requests, 1 for all others.
     int group_ = 1;
-    int priority_ = 0;
     // The request can no longer meet its objective. Always false for nested and background ones.
     bool late_ = false;
+    int priority_ = 0;
 
     auto operator<=>(const service_rank&) const = default;
 };
