--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -19,28 +19,32 @@
 // change of the other organisations' load shows within about as many runs.
 constexpr int turn_averaging_divisor = 8;
 
-constexpr int nested_group = 0;
-constexpr int foreground_group = 1;
-constexpr int background_group = 2;
+constexpr int late_class = 2;
 
 // Returns true if the request can still meet its objective.
 bool on_time(const waiting_request& request, base::instant now) {
     return request.objective_at_ - now > request.run_duration_;
 }
 
+// Returns the class in which a request is served: 0 for nested requests, 1 for requests that can
+// still meet their objective, 2 for late ones, 3 for background requests. Lower classes go first.
+int priority_class(const waiting_request& request, base::instant now) {
+    if (request.nested_) {
+        return 0;
+    }
+    if (request.background_) {
+        return 3;
+    }
+    return on_time(request, now) ? 1 : late_class;
+}
+
 // Returns the time for which a request can wait and still end before its deadline.
 base::duration slack_of(const waiting_request& request, base::instant now) {
     return latest_start(request) - now;
 }
 
 service_rank rank_of(const waiting_request& request, base::instant now) {
-    if (request.nested_) {
-        return {.group_ = nested_group, .priority_ = request.priority_};
-    }
-    if (request.background_) {
-        return {.group_ = background_group, .priority_ = request.priority_};
-    }
-    return {foreground_group, !on_time(request, now), request.priority_};
+    return {priority_class(request, now), request.priority_};
 }
 
 // Returns the longest time that those have waited which are served before a newly arrived request.
@@ -188,10 +192,11 @@
                              return next_key(queue, left, now) < next_key(queue, right, now);
                          });
     const service_rank rank = rank_of(*next, now);
+    const bool late = priority_class(*next, now) >= late_class;
     waiting_request next_request = std::move(*next);
     queue.waiting_.erase(next);
-    if (queue.waiting_.empty() || (queue.starving_ && rank >= *queue.starving_)) {
-        queue.starving_.reset();
+    if (late || queue.waiting_.empty()) {
+        queue.late_starve_ = false;
     }
     record_start(queue, next_request, rank, now);
     return next_request;
@@ -206,12 +211,10 @@
     std::vector<std::uint64_t> removed;
     std::erase_if(queue.waiting_, [&](const waiting_request& request) {
         const base::duration slack = slack_of(request, now);
-        const service_rank rank = rank_of(request, now);
-        const bool starves = rank.late_ && now - request.arrived_at_ > slack;
+        const bool late = priority_class(request, now) == late_class;
+        const bool starves = late && now - request.arrived_at_ > slack;
         const bool infeasible = slack < base::duration::zero() || starves;
-        if (starves && (!queue.starving_ || rank < *queue.starving_)) {
-            queue.starving_ = rank;
-        }
+        queue.late_starve_ = queue.late_starve_ || starves;
         if (infeasible) {
             removed.push_back(request.id_);
         }
@@ -279,9 +282,7 @@
     }
     const bool stays_on_time =
         request.objective_at_ - now >= predicted_wait + request.run_duration_;
-    service_rank rank = rank_of(request, now);
-    rank.late_ = rank.group_ == foreground_group;
-    return stays_on_time || !queue.starving_ || rank < *queue.starving_;
+    return stays_on_time || !queue.late_starve_;
 }
 
 base::duration expected_wait(const slot_queue& queue, const waiting_request& request, int slots,
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -1,16 +1,14 @@
 // Requests that wait for a slot of one target, and the order in which they are served.
 //
 // Pattern: deadline-aware priority queue with weighted fair sharing. Requests made by running
-// requests go first, since each of those holds a slot elsewhere, and background requests go last.
-// Of the others, those that can still meet their objective go before late ones, whatever their
-// priority: a slot that a late one takes makes a further request late. Within both, the order is by
-// priority, then fair between organisations, then by arrival. The wait is
+// requests go first, since each of those holds a slot elsewhere. Requests that can still meet their
+// objective come next, then late ones, and background requests come last. Within each of these
+// classes the order is by priority, then fair between organisations, then by arrival. The wait is
 // predicted by the head-of-line delay, which holds while the target's speed changes, and by the
 // requests that go before in the fair order: those that another organisation has waiting beyond its
 // share do not count.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -34,7 +32,7 @@
     bool background_ = false;
     // Share of the slots that the organisation gets, relative to the others with waiting requests.
     double weight_ = 1;
-    // Within its group, a request with a lower value is served first; 0 is the highest priority.
+    // Within its class, a request with a lower value is served first; 0 is the highest priority.
     int priority_ = 0;
     base::instant arrived_at_{};
     // Time from which on a response is late; instant::max() if there is no objective.
@@ -45,15 +43,7 @@
 };
 
 // Requests of a lower rank are served first, those of the same rank in fair turn.
-struct service_rank {
-    // 0 for nested requests, 2 for background requests, 1 for all others.
-    int group_ = 1;
-    // The request can no longer meet its objective. Always false for nested and background ones.
-    bool late_ = false;
-    int priority_ = 0;
-
-    auto operator<=>(const service_rank&) const = default;
-};
+using service_rank = std::pair<int, int>;
 
 // The turn of an organisation among those that share the slots of one rank.
 struct fair_turn {
@@ -80,9 +70,8 @@
     // Each rank has virtual times of its own: one shared with more urgent requests would run ahead
     // of the organisations that wait behind those, which then were served by arrival.
     std::map<service_rank, fair_share> shares_;
-    // The most urgent rank of which a late request was given up since one of that rank or a less
-    // urgent one was last served: no slots are left for late requests from that rank on.
-    std::optional<service_rank> starving_;
+    // A late request was given up since one was last served: no slots are left for late requests.
+    bool late_starve_ = false;
 };
 
 // Returns the time until which a request can wait for its slot: a run that begins later does not
--- a/tests/process_large_body_test.cpp
+++ b/tests/process_large_body_test.cpp
@@ -53,6 +53,7 @@
     fleet.start_all();
     fleet.target("t1").set({.delay_ = std::chrono::milliseconds(50)});
     std::vector<std::future<caller_response>> responses;
+    responses.reserve(2 * requests_of_each_kind);
     for (int i = 0; i < requests_of_each_kind; ++i) {
         const std::string number = std::to_string(i);
         responses.push_back(send_in_background(large_order(fleet, "large-" + number, "POST")));
@@ -72,6 +73,7 @@
     fleet.start_all();
     fleet.target("t1").set({.delay_ = std::chrono::milliseconds(50)});
     std::vector<std::future<caller_response>> responses;
+    responses.reserve(requests_of_each_kind);
     for (int i = 0; i < requests_of_each_kind; ++i) {
         responses.push_back(send_in_background(large_order(fleet, "r" + std::to_string(i), "PUT")));
     }
