--- a/src/policy/slot_queue.cpp
+++ b/src/policy/slot_queue.cpp
@@ -19,23 +19,19 @@
 // change of the other organisations' load shows within about as many runs.
 constexpr int turn_averaging_divisor = 8;
 
-constexpr int late_class = 2;
-
 // Returns true if the request can still meet its objective.
 bool on_time(const waiting_request& request, base::instant now) {
     return request.objective_at_ - now > request.run_duration_;
 }
 
-// Returns the class in which a request is served: 0 for nested requests, 1 for requests that can
-// still meet their objective, 2 for late ones, 3 for background requests. Lower classes go first.
-int priority_class(const waiting_request& request, base::instant now) {
+service_class class_of(const waiting_request& request, base::instant now) {
     if (request.nested_) {
-        return 0;
+        return service_class::nested;
     }
     if (request.background_) {
-        return 3;
+        return service_class::background;
     }
-    return on_time(request, now) ? 1 : late_class;
+    return on_time(request, now) ? service_class::on_time : service_class::late;
 }
 
 // Returns the time for which a request can wait and still end before its deadline.
@@ -44,7 +40,7 @@
 }
 
 service_rank rank_of(const waiting_request& request, base::instant now) {
-    return {priority_class(request, now), request.priority_};
+    return {class_of(request, now), request.priority_};
 }
 
 // Returns the longest time that those have waited which are served before a newly arrived request.
@@ -192,7 +188,7 @@
                              return next_key(queue, left, now) < next_key(queue, right, now);
                          });
     const service_rank rank = rank_of(*next, now);
-    const bool late = priority_class(*next, now) >= late_class;
+    const bool late = class_of(*next, now) >= service_class::late;
     waiting_request next_request = std::move(*next);
     queue.waiting_.erase(next);
     if (late || queue.waiting_.empty()) {
@@ -211,7 +207,7 @@
     std::vector<std::uint64_t> removed;
     std::erase_if(queue.waiting_, [&](const waiting_request& request) {
         const base::duration slack = slack_of(request, now);
-        const bool late = priority_class(request, now) == late_class;
+        const bool late = class_of(request, now) == service_class::late;
         const bool starves = late && now - request.arrived_at_ > slack;
         const bool infeasible = slack < base::duration::zero() || starves;
         queue.late_starve_ = queue.late_starve_ || starves;
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -9,6 +9,7 @@
 // share do not count.
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -42,8 +43,23 @@
     base::duration run_duration_{};
 };
 
+// Classes of waiting requests, in the order in which they are served.
+enum class service_class {
+    // Made by running requests.
+    nested,
+    // Those that can still meet their objective, and those that no longer can.
+    on_time,
+    late,
+    background,
+};
+
 // Requests of a lower rank are served first, those of the same rank in fair turn.
-using service_rank = std::pair<int, int>;
+struct service_rank {
+    service_class class_ = service_class::on_time;
+    int priority_ = 0;
+
+    auto operator<=>(const service_rank&) const = default;
+};
 
 // The turn of an organisation among those that share the slots of one rank.
 struct fair_turn {
