--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -187,8 +187,8 @@
     }
 }
 
-// A host that has lately learnt of a newer version is about to pull it, and asking adds to the load
-// of those that send it.
+// Returns true if a newer version has been known for so short a time that it is about to be pulled.
+// Further requests would add to the load of the hosts that send it.
 bool gossip::pulls_from_peer() const {
     const base::duration usual_pull_time = options_.platform_lead_ + 2 * options_.interval_;
     const auto pulls = [&](const value_exchange& exchange) {
--- a/src/node/target_proxy.cpp
+++ b/src/node/target_proxy.cpp
@@ -252,8 +252,8 @@
         return;
     }
     if (attempt->running() && !attempt->begin().idempotent && !attempt->request_body_incomplete()) {
-        // A non-idempotent run is not interrupted: a partly executed request is worse than one
-        // whose response nobody receives. Without its whole body it has not begun.
+        // A non-idempotent run is not interrupted: a partly executed request is worse than a lost
+        // response. A run whose body will never be complete can only be cancelled.
         attempt->discard_response();
         return;
     }
--- a/src/node/target_proxy_runs.cpp
+++ b/src/node/target_proxy_runs.cpp
@@ -1,7 +1,6 @@
 // The slots of the target proxy: queues the attempts that it takes, and starts and ends their runs.
 // Which it takes is decided in target_proxy_admission.cpp; what it learns of its targets is in
 // target_proxy_targets.cpp.
-#include <algorithm>
 #include <utility>
 
 #include "node/target_proxy.h"
--- a/src/policy/run_estimate.cpp
+++ b/src/policy/run_estimate.cpp
@@ -9,6 +9,9 @@
 // The newest run has a weight of one in this many in the moving average.
 constexpr int averaging_runs = 6;
 
+// Shorter delays of a run are due to chance: a busy host alone can cause them.
+constexpr base::duration min_overdue_delay = base::milliseconds(200);
+
 void update_average(base::duration& mean, base::duration value) {
     mean = mean == base::duration::zero() ? value : mean + (value - mean) / averaging_runs;
 }
--- a/src/policy/run_estimate.h
+++ b/src/policy/run_estimate.h
@@ -32,10 +32,8 @@
 base::duration expected_run_duration(const run_estimates& estimates, run_kind kind,
                                      base::duration fallback);
 
-// Shorter delays of a run are due to chance: a busy host alone can cause them.
-inline constexpr base::duration min_overdue_delay = base::milliseconds(200);
-
-// Returns the time after which a run is overdue that takes `factor` times as long as expected.
+// Returns the time after which a run is overdue: `factor` times the expected duration, but no less
+// than what a busy host alone can cause.
 base::duration overdue_run_time(base::duration expected, int factor);
 
 // Returns the present mean duration of a run over all kinds, in which runs in progress that already
--- a/src/policy/slot_queue.h
+++ b/src/policy/slot_queue.h
@@ -86,7 +86,7 @@
     // Each rank has virtual times of its own: one shared with more urgent requests would run ahead
     // of the organisations that wait behind those, which then were served by arrival.
     std::map<service_rank, fair_share> shares_;
-    // A late request was given up since one was last served: no slots are left for late requests.
+    // A late request was abandoned since one was last served: late requests get no slots now.
     bool late_starve_ = false;
 };
 
--- a/src/policy/store_watchers.cpp
+++ b/src/policy/store_watchers.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+bool contains(std::span<const std::string> hosts, const std::string& host) {
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
 // Returns the next reachable host of a list and moves `turn` behind it.
 std::optional<std::string> take_turn(std::span<const std::string> hosts, std::size_t& turn,
                                      const reachable_check& reachable) {
@@ -89,7 +93,7 @@
 std::vector<std::string> record_reply(watcher_view& view, const std::string& host, bool recent,
                                       const reachable_check& reachable) {
     std::vector<std::string> asked;
-    if (std::find(view.zone_.begin(), view.zone_.end(), host) == view.zone_.end()) {
+    if (!contains(view.zone_, host)) {
         return asked;
     }
     view.zone_replied_ = view.zone_replied_ || recent;
@@ -100,9 +104,7 @@
 }
 
 bool is_watcher(const watcher_view& view, const std::string& host) {
-    const auto is_host = [&](const std::string& watcher) { return watcher == host; };
-    return std::any_of(view.zone_.begin(), view.zone_.end(), is_host) ||
-           std::any_of(view.others_.begin(), view.others_.end(), is_host);
+    return contains(view.zone_, host) || contains(view.others_, host);
 }
 
 }  // namespace dandelionridge::policy
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr auto hosts_kind = control::config_value_kind::hosts;
-constexpr double link_bytes_per_second = 12e6 / 8;
-constexpr base::duration platform_lead = base::milliseconds(850);
+constexpr double link_bytes_per_second = gossip_fleet_options{}.link_bytes_per_second_;
+constexpr base::duration platform_lead = gossip_fleet_options{}.platform_lead_;
 
 }  // namespace
 
--- a/tests/peer_turns_test.cpp
+++ b/tests/peer_turns_test.cpp
@@ -1,4 +1,4 @@
-// The order of the peers that are told of silent hosts.
+// The order in which peers are notified of silent hosts.
 #include "policy/peer_turns.h"
 
 #include <catch2/catch.hpp>
@@ -18,18 +18,18 @@
 
 }  // namespace
 
-// Guards against: one of few hosts was never told of a silent one. Each of a limited number of
-// notices went to a peer drawn anew, and the same peers were drawn again.
+// Guards against: one of few hosts was never notified of a silent one. Each of a limited number of
+// notices went to a random peer, and the same peers were picked again.
 TEST_CASE("as many notices as there are peers reach all of them") {
     for (std::uint64_t seed = 0; seed < 1000; ++seed) {
         base::random_engine random(seed);
         policy::peer_turns turns;
         const auto is_alive = [](const std::string& peer) { return peer != "h2"; };
-        std::set<std::string> told;
+        std::set<std::string> notified;
         for (int notice = 0; notice < 3; ++notice) {
-            told.insert(policy::next_peer(turns, list_peers, is_alive, random).value());
+            notified.insert(policy::next_peer(turns, list_peers, is_alive, random).value());
         }
-        CHECK(told == std::set<std::string>{"h3", "h4", "h5"});
+        CHECK(notified == std::set<std::string>{"h3", "h4", "h5"});
     }
 }
 
--- a/tests/process_large_body_test.cpp
+++ b/tests/process_large_body_test.cpp
@@ -39,17 +39,25 @@
     return size.str() + "\r\n" + bytes + "\r\n";
 }
 
-// A fleet with one slot that takes each run 50 ms.
-fleet_plan busy_plan() {
+// A fleet with one slot.
+fleet_plan one_slot_plan() {
     return orders_plan({"z1", "z1"}, {"h2"}, "slots=1 timeout=30s");
 }
 
+// Sends a request that holds the slot for a second, and waits until it does.
+std::future<caller_response> occupy_slot(fleet& fleet) {
+    fleet.target("t1").set({.delay_ = std::chrono::seconds(1)});
+    auto response = send_in_background(order_request(fleet, "h1", "first", "POST"));
+    REQUIRE(wait_for([&] { return fleet.target("t1").in_flight() == 1; }));
+    return response;
+}
+
 }  // namespace
 
 // Guards against: orders with a body over the request window were refused as overload at once
 // while no slot was free, and small reads beside them got all slots.
 TEST_CASE("large orders wait for a slot beside small reads", "[large-body]") {
-    fleet fleet(busy_plan());
+    fleet fleet(one_slot_plan());
     fleet.start_all();
     fleet.target("t1").set({.delay_ = std::chrono::milliseconds(50)});
     std::vector<std::future<caller_response>> responses;
@@ -69,7 +77,7 @@
 }
 
 TEST_CASE("an idempotent request with a large body waits for a slot", "[large-body]") {
-    fleet fleet(busy_plan());
+    fleet fleet(one_slot_plan());
     fleet.start_all();
     fleet.target("t1").set({.delay_ = std::chrono::milliseconds(50)});
     std::vector<std::future<caller_response>> responses;
@@ -83,11 +91,9 @@
 }
 
 TEST_CASE("a body of unknown length that grows large waits for a slot", "[large-body]") {
-    fleet fleet(busy_plan());
+    fleet fleet(one_slot_plan());
     fleet.start_all();
-    fleet.target("t1").set({.delay_ = std::chrono::seconds(1)});
-    auto first = send_in_background(order_request(fleet, "h1", "first", "POST"));
-    REQUIRE(wait_for([&] { return fleet.target("t1").in_flight() == 1; }));
+    auto first = occupy_slot(fleet);
     const raw_caller caller(fleet.caller_address_of("h1"),
                             chunked_head("chunked") + chunk_of(large_body()) + "0\r\n\r\n");
     CHECK(caller.receive(12).substr(9, 3) == "200");
@@ -97,11 +103,9 @@
 
 // Guards against: a caller that leaves while its body is held back keeps a place or a slot.
 TEST_CASE("a caller that leaves in its large body leaves nothing behind", "[large-body]") {
-    fleet fleet(busy_plan());
+    fleet fleet(one_slot_plan());
     fleet.start_all();
-    fleet.target("t1").set({.delay_ = std::chrono::seconds(1)});
-    auto first = send_in_background(order_request(fleet, "h1", "first", "POST"));
-    REQUIRE(wait_for([&] { return fleet.target("t1").in_flight() == 1; }));
+    auto first = occupy_slot(fleet);
     for (int i = 0; i < requests_of_each_kind; ++i) {
         const raw_caller leaving(fleet.caller_address_of("h1"),
                                  chunked_head("left-" + std::to_string(i)) +
--- a/tests/store_watchers_test.cpp
+++ b/tests/store_watchers_test.cpp
@@ -91,6 +91,10 @@
     return {"organisation o" + std::to_string(version) + " rate=1/s burst=1 # the test"};
 }
 
+bool contains(const std::vector<std::size_t>& hosts, std::size_t host) {
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
 struct planned_read {
     base::duration at_{};
     std::size_t watcher_ = 0;
@@ -108,8 +112,7 @@
     }
     std::vector<planned_read> reads;
     for (const std::size_t watcher : watchers) {
-        const bool is_faulty = std::find(faulty.begin(), faulty.end(), watcher) != faulty.end();
-        if (!is_faulty) {
+        if (!contains(faulty, watcher)) {
             reads.push_back({gather, watcher});
         } else if (fault.reads_after_) {
             reads.push_back({gather + *fault.reads_after_, watcher});
@@ -131,8 +134,7 @@
                        config_value_kind kind) {
     std::size_t late = 0;
     for (std::size_t number = 0; number < host_count; ++number) {
-        const bool is_faulty = std::find(faulty.begin(), faulty.end(), number) != faulty.end();
-        late += !is_faulty && !fleet.has(number, kind, 2) ? 1 : 0;
+        late += !contains(faulty, number) && !fleet.has(number, kind, 2) ? 1 : 0;
     }
     return late;
 }
