--- a/review/support-3/stand_ins.h
+++ b/review/support-3/stand_ins.h
@@ -620,13 +620,21 @@
         }
         log_.line("upstream " + id_ + " runs " + request.method_ + " " + request.path_ + " of " +
                   request_id + ", tenant " + request.header("x-tenant"));
-        const double until = now_s() + work_s_;
+        // It stops work at the value of X-Deadline-Ms that it received.
+        const std::string deadline = request.header("x-deadline-ms");
+        const double allowed_s = deadline.empty() ? 600 : std::stod(deadline) / 1000;
+        const bool in_time = work_s_ <= allowed_s;
+        const double until = now_s() + std::min(work_s_.load(), allowed_s);
         while (now_s() < until && !server_.stopped()) {
             sleep_s(std::min(0.02, until - now_s()));
         }
         if (server_.stopped()) {
             return false;
         }
+        if (!in_time) {
+            return peer.send(
+                response_text(504, echo + "X-Response-Seal: seal." + id_ + "\r\n", ""));
+        }
         return peer.send(response_text(
             200, echo + "X-Response-Seal: seal." + id_ + "\r\nX-Server-Load: 1,0,20\r\n",
             "body of " + request_id + " from " + id_ + "\n"));
