Current reads of the store begin at once, and a feed says as of when it is current

Cause: a host that became one of those that watch the store with current reads went on with the relaxed watch that was waiting, for up to two seconds, and with a gather time of one.

Change: set_current_reads() replaces a relaxed watch that waits, or a pause before one. current_as_of() says as of when the published values are current while the store delivers changes to a watch that waits.

--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,10 @@
     // Sets whether the feed watches the platform only with reads that are never old. No effect on a
     // feed whose reads never are.
     virtual void set_current_reads(bool /*enabled*/) {}
+
+    // Returns the time as of which what was passed to published_ is known to be current, if the
+    // platform delivers changes to a watch that waits for them. Empty if the feed does not know.
+    virtual std::optional<base::instant> current_as_of() const { return std::nullopt; }
 };
 
 }  // namespace dandelionridge::control
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -131,6 +131,9 @@
     // Stops the timer. Its callback is not called any more.
     void cancel();
 
+    // Returns true if the timer was started and has neither expired nor been cancelled since.
+    bool is_running() const { return queue_position_.has_value(); }
+
 private:
     friend class event_loop;
 
--- a/tests/platform_feed_test.cpp
+++ b/tests/platform_feed_test.cpp
@@ -34,8 +34,9 @@
 class feed_recorder {
 public:
     // `current_reads`: this host is one of those whose watches are never relaxed.
-    explicit feed_recorder(bool current_reads = false) {
-        thread_.run([this, current_reads] {
+    explicit feed_recorder(bool current_reads = false,
+                           base::duration wait = base::milliseconds(300)) {
+        thread_.run([this, current_reads, wait] {
             control::config_feed_callbacks callbacks;
             callbacks.published_ = [this](control::config_value_kind kind, std::int64_t version,
                                           const std::vector<std::string>& lines) {
@@ -55,9 +56,8 @@
             callbacks.restored_ = [](std::int64_t, std::int64_t) {};
             callbacks.hold_changed_ = [](const control::platform_hold&) {};
             feed_ = std::make_unique<store_feed>(
-                thread_.loop(), store_address,
-                watch_times{base::milliseconds(300), base::milliseconds(250), base::seconds(7)},
-                std::move(callbacks));
+                std::make_unique<http_store_client>(thread_.loop(), store_address),
+                watch_times{wait, base::milliseconds(250), base::seconds(7)}, std::move(callbacks));
             feed_->set_current_reads(current_reads);
         });
     }
@@ -67,6 +67,15 @@
         thread_.run([this] { feed_.reset(); });
     }
 
+    void set_current_reads(bool enabled) {
+        thread_.run([this, enabled] { feed_->set_current_reads(enabled); });
+    }
+    std::optional<base::instant> current_as_of() {
+        std::optional<base::instant> as_of;
+        thread_.run([&] { as_of = feed_->current_as_of(); });
+        return as_of;
+    }
+
     std::vector<std::string> hosts() const {
         const std::lock_guard lock(mutex_);
         return hosts_;
@@ -137,6 +146,27 @@
     }
 }
 
+// Guards against: a host that has to read currently, because those that do so for it are lost, went
+// on to wait for a relaxed watch.
+TEST_CASE("current reads begin in place of a relaxed watch that waits", "[platform][contract]") {
+    constexpr base::duration long_wait = base::seconds(60);
+    store_stub store(store_address);
+    store.set_relaxed_lag(base::seconds(600));
+    store.put("servers/a", "a");
+    feed_recorder feed(false, long_wait);
+    REQUIRE(eventually([&] { return store.calls().size() == 2; }));
+    const auto as_of_first_read = feed.current_as_of();
+    REQUIRE(as_of_first_read);
+    store.put("servers/b", "b");
+    CHECK(feed.hosts().size() == 1);
+    CHECK(feed.current_as_of() == as_of_first_read);
+    feed.set_current_reads(true);
+    CHECK(eventually([&] { return feed.hosts().size() == 2; }));
+    CHECK(eventually([&] { return feed.current_as_of() > as_of_first_read; }));
+    // The relaxed watch and the current ones that found the change and wait for the next.
+    CHECK(eventually([&] { return store.calls().size() == 4; }));
+}
+
 TEST_CASE("after each fault of the store the feed publishes the changes made during it",
           "[platform][contract]") {
     for (const store_fault fault :
