Take only hosts where a process was found for those that watch the store

With entries of a service that no configuration names in the store, a withdrawn key was accepted until 3 s after the ack; 2 s are allowed.

Cause: the hosts that watch the store with current reads were ranked over all listed entries. The first of each zone were entries with no process behind them, so no host read currently.

Why this works: who watches no longer rests on the list alone, whatever the entries say, named service or not.

The simulated fleet names listed hosts without a process absent only where a test asks for it.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -106,7 +106,7 @@
     }
     policy::set_members(view_, configuration_.version(config_value_kind::hosts),
                         std::move(members));
-    policy::set_hosts(watchers_, hosts_by_zone, options_.zone_, options_.host_);
+    policy::set_hosts(watchers_, hosts_by_zone, options_.zone_, options_.host_, absent_check());
     if (!synchronized_) {
         next_round_ = {};
     }
@@ -162,6 +162,7 @@
         return;
     }
     next_round_ = now + options_.interval_;
+    policy::choose_watchers(watchers_, absent_check());
     std::erase_if(pending_requests_, [&](const auto& entry) {
         return now - entry.second.requested_at_ > pending_request_expiry;
     });
@@ -202,7 +203,7 @@
     if (pulls_from_peer()) {
         return;
     }
-    for (const std::string& watcher : policy::watchers_to_ask(watchers_, reachable_check())) {
+    for (const std::string& watcher : policy::watchers_to_ask(watchers_, reachable_check(), clock_.now())) {
         request_view(watcher);
     }
 }
@@ -233,6 +234,10 @@
     return [this](const std::string& host) { return peers_.reachable(host); };
 }
 
+policy::absent_check gossip::absent_check() const {
+    return [this](const std::string& host) { return peers_.absent(host); };
+}
+
 void gossip::request_some_views(const std::vector<std::string>& hosts) {
     for (std::size_t i = 0; i < sampled_hosts && !hosts.empty(); ++i) {
         const std::string& peer = hosts[base::random_below(random_, hosts.size())];
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -126,6 +126,7 @@
     void exchange_between_watchers(base::instant now);
     void record_watcher_reply(const std::string& peer, bool recent);
     policy::reachable_check reachable_check() const;
+    policy::absent_check absent_check() const;
     bool pulls_from_peer() const;
     void request_some_views(const std::vector<std::string>& hosts);
     void pull_if_behind(config_value_kind kind, std::int64_t version, const std::string& peer,
--- a/src/control/peer_sender.h
+++ b/src/control/peer_sender.h
@@ -22,6 +22,10 @@
 
     // Returns true if a link to that host is open.
     virtual bool reachable(const std::string& host) const = 0;
+
+    // Returns true if no process of that host was found: several attempts in a row to open a link
+    // to it have failed, and none is open.
+    virtual bool absent(const std::string& host) const = 0;
 };
 
 }  // namespace dandelionridge::control
--- a/src/node/link_pool.cpp
+++ b/src/node/link_pool.cpp
@@ -83,7 +83,7 @@
 void link_pool::on_peer_connected(const std::string& host) {
     const auto found = current_links_.find(host);
     if (found != current_links_.end()) {
-        found->second->reconnect_now();
+        found->second->on_peer_connected();
     }
 }
 
@@ -139,6 +139,11 @@
     return found->second->is_open() || (!keeps_all_open_ && !found->second->reconnecting());
 }
 
+bool link_pool::is_absent(const std::string& host) const {
+    const auto found = current_links_.find(host);
+    return found != current_links_.end() && found->second->is_peer_absent();
+}
+
 std::size_t link_pool::open_count() const {
     return static_cast<std::size_t>(std::count_if(
         links_.begin(), links_.end(), [](const auto& entry) { return entry.second->is_open(); }));
--- a/src/node/link_pool.h
+++ b/src/node/link_pool.h
@@ -52,6 +52,10 @@
     // open or, where links are opened on demand, none has failed.
     bool is_reachable(const std::string& host) const;
 
+    // Returns true if no link to the host of that name is open and several attempts in a row to
+    // open one have failed.
+    bool is_absent(const std::string& host) const;
+
     std::size_t open_count() const;
     std::size_t size() const { return links_.size(); }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -183,6 +183,7 @@
 // Runs the periodic work of the controllers.
 void node::tick() {
     gossip_.tick(feed_->platform_available());
+    feed_->set_current_reads(gossip_.watches_platform());
     quota_.tick();
     retry_loans_.tick();
     members_->tick();
@@ -340,6 +341,10 @@
     return links_->is_reachable(host) && !members_->is_silent(host);
 }
 
+bool node::absent(const std::string& host) const {
+    return links_->is_absent(host);
+}
+
 void node::on_control_frame(const std::string& peer, wire::frame&& frame,
                             const control::frame_sender& reply) {
     wire::frame reply_frame;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -62,6 +62,7 @@
 
     void send(const std::string& host, const wire::frame& frame) override;
     bool reachable(const std::string& host) const override;
+    bool absent(const std::string& host) const override;
 
 private:
     node(const base::runtime_clock& clock, config::settings settings, environment environment);
--- a/src/node/peer_link.cpp
+++ b/src/node/peer_link.cpp
@@ -148,7 +148,8 @@
     }
 }
 
-void peer_link::reconnect_now() {
+void peer_link::on_peer_connected() {
+    failed_opens_ = 0;
     if (socket_ == nullptr && failures_ > 0 && keep_open_) {
         reconnect_timer_.cancel();
         connect();
@@ -225,6 +226,9 @@
     // A pause of this process says nothing about the peer.
     const bool peer_failed = cause != net::closed_by_pause;
     failures_ = peer_failed ? std::min(failures_ + 1, max_reconnect_doublings) : 0;
+    if (!was_open) {
+        failed_opens_ = peer_failed ? failed_opens_ + 1 : 0;
+    }
     const base::duration delay =
         peer_failed ? base_reconnect_delay * (1 << failures_) : base::duration::zero();
     reconnect_timer_.start(delay, [this] {
@@ -309,6 +313,7 @@
     }
     connect_timer_.cancel();
     failures_ = 0;
+    failed_opens_ = 0;
     liveness_ = {};
     pinging_ = false;
     peer_grants_body_ = welcome.__isset.grants_body && welcome.grants_body;
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -147,10 +147,6 @@
     // Sets whether a link is kept open also while it is not in use.
     void keep_open(bool enabled);
 
-    // Reconnects without waiting for the scheduled time, if a link is to be kept open and none is
-    // open or being opened. Called when the peer is known to be reachable.
-    void reconnect_now();
-
     // Returns true if the peer grants credit for bodies that wait for a slot, as its last welcome
     // says.
     bool grants_body() const { return peer_grants_body_; }
@@ -159,6 +155,14 @@
     // at once until a link is open.
     bool failing() const { return failures_ > 1; }
 
+    // Returns true if no link is open and several attempts in a row to open one have failed, also
+    // where links are opened on demand only.
+    bool is_peer_absent() const { return !is_open() && failed_opens_ > 1; }
+
+    // The peer has opened a link to this process and so is reachable: reconnects without waiting
+    // for the scheduled time, if a link is to be kept open and none is open or being opened.
+    void on_peer_connected();
+
     // Sends a ping if the link is open and none awaits its answer, so that a silent peer is found
     // before a request is sent to it.
     void check();
@@ -245,6 +249,8 @@
     // Consecutive lost links and failed connects, at most max_reconnect_doublings; 0 if a link is
     // open or none is needed.
     int failures_ = 0;
+    // Consecutive failed attempts to open a link.
+    int failed_opens_ = 0;
     bool keep_open_ = false;
 };
 
--- a/src/policy/store_watchers.cpp
+++ b/src/policy/store_watchers.cpp
@@ -25,6 +25,21 @@
     return std::nullopt;
 }
 
+// Returns the first hosts of a ranking that are present.
+std::vector<std::string> first_present(std::span<const std::string> ranked, std::size_t count,
+                                       const reachable_check& present) {
+    std::vector<std::string> chosen;
+    for (const std::string& host : ranked) {
+        if (chosen.size() == count) {
+            break;
+        }
+        if (present(host)) {
+            chosen.push_back(host);
+        }
+    }
+    return chosen;
+}
+
 // Adds the next hosts of other zones to the hosts asked.
 void append_others(std::vector<std::string>& asked, watcher_view& view,
                    const reachable_check& reachable) {
@@ -43,44 +58,75 @@
     return (min_fleet_watchers + known_zones - 1) / known_zones;
 }
 
-std::vector<std::string> store_watchers(std::span<const std::string> zone_hosts,
-                                        std::size_t zones) {
-    std::vector<std::string> watchers;
+std::vector<std::string> rank_watchers(std::span<const std::string> zone_hosts) {
+    std::vector<std::string> ranked;
+    ranked.reserve(zone_hosts.size());
     for (const std::size_t index :
-         base::rendezvous_top("store-watch", zone_hosts, watchers_per_zone(zones))) {
-        watchers.push_back(zone_hosts[index]);
+         base::rendezvous_top("store-watch", zone_hosts, zone_hosts.size())) {
+        ranked.push_back(zone_hosts[index]);
     }
-    return watchers;
+    return ranked;
 }
 
 void set_hosts(watcher_view& view, const std::map<std::string, std::vector<std::string>>& hosts,
-               const std::string& zone, const std::string& self) {
+               const std::string& zone, const std::string& self, const absent_check& absent) {
+    view.self_ = self;
+    view.own_zone_ = zone;
+    view.ranked_.clear();
+    for (const auto& [name, zone_hosts] : hosts) {
+        view.ranked_[name] = rank_watchers(zone_hosts);
+    }
+    choose_watchers(view, absent);
+}
+
+void choose_watchers(watcher_view& view, const absent_check& absent) {
+    const auto present = [&](const std::string& host) {
+        return host == view.self_ || !absent(host);
+    };
+    const auto zones =
+        std::count_if(view.ranked_.begin(), view.ranked_.end(), [&](const auto& entry) {
+            return std::any_of(entry.second.begin(), entry.second.end(), present);
+        });
     const std::vector<std::string> known_zone = std::exchange(view.zone_, {});
     view.others_.clear();
     view.watches_ = false;
-    for (const auto& [name, zone_hosts] : hosts) {
-        for (std::string& watcher : store_watchers(zone_hosts, hosts.size())) {
-            if (watcher == self) {
+    for (const auto& [name, ranked] : view.ranked_) {
+        for (const std::string& watcher :
+             first_present(ranked, watchers_per_zone(static_cast<std::size_t>(zones)), present)) {
+            if (watcher == view.self_) {
                 view.watches_ = true;
             } else {
-                (name == zone ? view.zone_ : view.others_).push_back(std::move(watcher));
+                (name == view.own_zone_ ? view.zone_ : view.others_).push_back(watcher);
             }
         }
     }
     view.zone_replied_ = view.zone_replied_ && view.zone_ == known_zone;
 }
 
-std::vector<std::string> watchers_to_ask(watcher_view& view, const reachable_check& reachable) {
+std::vector<std::string> watchers_to_ask(watcher_view& view, const reachable_check& reachable,
+                                         base::instant now) {
     std::vector<std::string> asked;
+    view.asked_at_ = now;
     if (auto of_zone = take_turn(view.zone_, view.next_zone_, reachable)) {
         asked.push_back(std::move(*of_zone));
     }
     const bool zone_replied = std::exchange(view.zone_replied_, false);
     view.asked_others_ = !zone_replied || asked.empty();
-    if (!view.asked_others_) {
-        return asked;
+    if (view.asked_others_) {
+        append_others(asked, view, reachable);
+    }
+    view.asked_nobody_ = asked.empty();
+    return asked;
+}
+
+std::vector<std::string> watchers_after_silence(watcher_view& view,
+                                                const reachable_check& reachable,
+                                                base::instant now) {
+    std::vector<std::string> asked;
+    const bool in_time = now - view.asked_at_ < watcher_reply_time;
+    if (!in_time && !view.zone_replied_ && !std::exchange(view.asked_others_, true)) {
+        append_others(asked, view, reachable);
     }
-    append_others(asked, view, reachable);
     return asked;
 }
 
--- a/tests/gossip_test.cpp
+++ b/tests/gossip_test.cpp
@@ -172,15 +172,17 @@
     CHECK(policy::watchers_per_zone(2) == 2);
     CHECK(policy::watchers_per_zone(3) == 1);
     CHECK(policy::watchers_per_zone(14) == 1);
+    const auto none_absent = [](const std::string&) { return false; };
     const std::vector<std::string> zone = {"h1", "h2", "h3", "h4"};
-    const std::vector<std::string> watchers = policy::store_watchers(zone, 2);
-    REQUIRE(watchers.size() == 2);
-    CHECK(policy::store_watchers(std::span(zone).first(2), 1).size() == 2);
     policy::watcher_view view;
-    policy::set_hosts(view, {{"z1", zone}, {"z2", {"h5"}}}, "z1", watchers.front());
+    policy::set_hosts(view, {{"z1", zone}, {"z2", {"h5"}}}, "z1", "h9", none_absent);
+    CHECK_FALSE(view.watches_);
+    const std::vector<std::string> watchers = view.zone_;
+    REQUIRE(watchers.size() == 2);
+    policy::set_hosts(view, {{"z1", zone}, {"z2", {"h5"}}}, "z1", watchers.front(), none_absent);
     CHECK(view.watches_);
     CHECK(view.zone_ == std::vector<std::string>{watchers.back()});
     CHECK(view.others_ == std::vector<std::string>{"h5"});
-    policy::set_hosts(view, {{"z1", zone}, {"z2", {"h5"}}}, "z1", "h9");
-    CHECK_FALSE(view.watches_);
+    policy::set_hosts(view, {{"z1", {"h1", "h2"}}}, "z1", "h9", none_absent);
+    CHECK(view.zone_.size() == 2);
 }
--- a/tests/quota_takeover_test.cpp
+++ b/tests/quota_takeover_test.cpp
@@ -47,6 +47,7 @@
 
     void send(const std::string& host, const wire::frame& frame) override;
     bool reachable(const std::string& host) const override { return host != host_name(index_); }
+    bool absent(const std::string& /*host*/) const override { return false; }
 
     fleet& fleet_;
     std::size_t index_;
--- a/tests/retry_loans_test.cpp
+++ b/tests/retry_loans_test.cpp
@@ -38,6 +38,7 @@
         sent_.emplace_back(host, frame);
     }
     bool reachable(const std::string& host) const override { return host != unreachable_; }
+    bool absent(const std::string& /*host*/) const override { return false; }
 
     std::vector<std::pair<std::string, wire::frame>> sent_;
     std::string unreachable_;
@@ -91,6 +92,7 @@
 
     void send(const std::string& host, const wire::frame& frame) override;
     bool reachable(const std::string& /*host*/) const override { return true; }
+    bool absent(const std::string& /*host*/) const override { return false; }
     bool lend_retry(const std::string& /*service*/) override;
 
     policy::retry_limits limits() const;
--- a/tests/support/gossip_fleet.cpp
+++ b/tests/support/gossip_fleet.cpp
@@ -14,6 +14,11 @@
 // Time until a segment that was lost arrives, when it is sent again.
 constexpr base::duration retransmission_time = base::milliseconds(250);
 
+// Time until a host that closed its links is known to be absent.
+constexpr base::duration absence_detection_time = base::seconds(1);
+// Time for which a watch that gets no response is taken to wait.
+constexpr base::duration watch_time = base::milliseconds(2250);
+
 std::string zone_name(std::size_t number, std::size_t zones) {
     return "z" + std::to_string(1 + number % zones);
 }
@@ -118,15 +123,28 @@
                fleet_.hosts_[number]->link_fault_ != link_fault::closed;
     }
 
+    bool absent(const std::string& peer) const override {
+        const std::size_t number = number_of(peer);
+        if (number >= fleet_.hosts_.size()) {
+            return fleet_.options_.finds_missing_hosts_;
+        }
+        const simulated_host& host = *fleet_.hosts_[number];
+        return host.link_fault_ == link_fault::closed &&
+               fleet_.clock_.now() - host.link_fault_at_ >= absence_detection_time;
+    }
+
     gossip_fleet& fleet_;
     std::size_t number_;
     bool rejects_ = false;
     control::configuration configuration_;
     control::gossip gossip_;
     link_fault link_fault_ = link_fault::none;
+    base::instant link_fault_at_{};
     bool frozen_ = false;
     bool platform_available_ = true;
     bool platform_confirms_ = true;
+    // The host takes its own reads for current until then.
+    base::instant current_until_{};
     std::size_t bytes_sent_ = 0;
     std::size_t pulls_ = 0;
 };
@@ -148,6 +166,10 @@
     return hosts_[number]->gossip_.watches_platform();
 }
 
+bool gossip_fleet::reads_currently(std::size_t number) const {
+    return hosts_[number]->gossip_.watches_platform();
+}
+
 std::size_t gossip_fleet::bytes_sent_by(std::size_t number) const {
     return hosts_[number]->bytes_sent_;
 }
@@ -194,6 +216,7 @@
 
 void gossip_fleet::set_link_fault(std::size_t number, link_fault fault) {
     hosts_[number]->link_fault_ = fault;
+    hosts_[number]->link_fault_at_ = clock_.now();
 }
 
 void gossip_fleet::freeze(std::size_t number) {
@@ -208,7 +231,10 @@
 }
 
 void gossip_fleet::silence_platform(std::size_t number) {
-    hosts_[number]->platform_confirms_ = false;
+    simulated_host& host = *hosts_[number];
+    host.platform_confirms_ = false;
+    // A host whose calls are refused knows at once, one whose watch waits only after its wait.
+    host.current_until_ = clock_.now() + (host.platform_available_ ? watch_time : base::duration{});
 }
 
 void gossip_fleet::reject_versions(std::size_t number) {
@@ -225,6 +251,7 @@
             }
             if (host->gossip_.watches_platform() && host->platform_confirms_) {
                 host->configuration_.confirm(clock_.now());
+                host->current_until_ = clock_.now();
             }
             host->gossip_.tick(host->platform_available_);
         }
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -34,6 +34,8 @@
     base::duration interval_ = base::seconds(1);
     base::duration platform_lead_ = base::milliseconds(850);
     double link_bytes_per_second_ = 12e6 / 8;
+    // The hosts have found that there is no process where the list names more hosts than there are.
+    bool finds_missing_hosts_ = false;
 };
 
 inline constexpr base::duration gossip_tick = base::milliseconds(50);
@@ -48,6 +50,8 @@
     std::size_t size() const { return hosts_.size(); }
     control::configuration& configuration_of(std::size_t number);
     bool watches_platform(std::size_t number) const;
+    // Returns true if the host reads the platform currently, for others or for itself.
+    bool reads_currently(std::size_t number) const;
     std::size_t bytes_sent_by(std::size_t number) const;
     // Number of pulls that a host was sent.
     std::size_t pulls_at(std::size_t number) const;
--- a/tests/support/quota_host.h
+++ b/tests/support/quota_host.h
@@ -41,6 +41,7 @@
         ++lookups_;
         return !unreachable_.contains(host);
     }
+    bool absent(const std::string& host) const override { return !reachable(host); }
 
     // Number of calls of reachable().
     mutable std::size_t lookups_ = 0;
--- a/tests/support/quota_simulation.h
+++ b/tests/support/quota_simulation.h
@@ -52,6 +52,7 @@
 
     void send(const std::string& host, const wire::frame& frame) override;
     bool reachable(const std::string& host) const override;
+    bool absent(const std::string& host) const override { return !reachable(host); }
 
     void boot();
     void set_hosts(const std::vector<std::string>& names, std::int64_t version);
