A reply says for rules and for hosts how old the evidence for what it passes on is

Cause: for 2.2 s after an outage a host holds its list back from its peers, yet it reports a recent confirmation all the while, so its zone asks nobody else.

Change: view_answer has an age for each value, of what is passed on; that of a held list grows, that of a value whose newest version was rejected is unknown. A reply counts as recent by these. Why this works: the zone then asks other zones' readers in the same round, which pass the list on within 1.6 s by arithmetic.

Test: "a host list that its reader holds back comes from another zone in time".

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -201,11 +201,13 @@
     return confirmed_at_ ? now - *confirmed_at_ : base::duration::max();
 }
 
+bool configuration::rejects_newest(config_value_kind kind) const {
+    const config_value_state& value = state(kind);
+    return value.rejected_ && value.rejected_->version_ > value.lines_.version_;
+}
+
 bool configuration::rejects_newest() const {
-    const auto rejects = [](const config_value_state& state) {
-        return state.rejected_ && state.rejected_->version_ > state.lines_.version_;
-    };
-    return rejects(rules_state_) || rejects(hosts_state_);
+    return rejects_newest(config_value_kind::rules) || rejects_newest(config_value_kind::hosts);
 }
 
 bool configuration::ready() const {
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -112,6 +112,9 @@
     // entries or evacuations that are older than those known, which stay in use instead.
     void set_hold(const platform_hold& hold);
 
+    // Returns true while missing targets stay in use after an outage.
+    bool is_holding() const { return hold_.active_; }
+
     // Returns the version of a value that peers may pull: of a host list that is not passed on,
     // that of the one before it.
     std::int64_t shared_version(config_value_kind kind) const;
@@ -140,7 +143,9 @@
     // Returns true once both values have a version.
     bool ready() const;
 
-    // Returns true if the newest version of a value was rejected, so that an older one is in force.
+    // Returns true if the newest version of the value, or of any value, was rejected, so that an
+    // older one is in force.
+    bool rejects_newest(config_value_kind kind) const;
     bool rejects_newest() const;
 
     // Adds a listener that is called after each accepted version.
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -75,6 +75,22 @@
     return frame;
 }
 
+// States how old the evidence for each value is. Without any, the reply says nothing of it.
+void set_evidence(wire::view_answer& reply, const policy::evidence_times& evidence,
+                  base::instant now) {
+    const auto age_ms = [&](base::instant as_of) {
+        return static_cast<std::int32_t>(
+            std::min(base::whole_ms(now - as_of), max_reported_age_ms));
+    };
+    if (evidence == policy::evidence_times{}) {
+        return;
+    }
+    reply.__set_rules_age_ms(age_ms(evidence.rules_));
+    if (age_ms(evidence.hosts_) != reply.rules_age_ms) {
+        reply.__set_hosts_age_ms(age_ms(evidence.hosts_));
+    }
+}
+
 std::size_t total_bytes(const std::vector<std::string>& lines) {
     return std::accumulate(
         lines.begin(), lines.end(), std::size_t{0},
@@ -155,6 +171,7 @@
     const base::instant now = clock_.now();
     pull_from_known_source(config_value_kind::rules);
     pull_from_known_source(config_value_kind::hosts);
+    note_passed_on_evidence();
     if (!options_.strict_ && watches_platform()) {
         exchange_between_watchers(now);
     }
@@ -203,8 +220,61 @@
     if (pulls_from_peer()) {
         return;
     }
-    for (const std::string& watcher : policy::watchers_to_ask(watchers_, reachable_check(), clock_.now())) {
-        request_view(watcher);
+    request_views_of(policy::watchers_to_ask(watchers_, reachable_check(), clock_.now()));
+}
+
+void gossip::request_views_of(const std::vector<std::string>& hosts) {
+    for (const std::string& host : hosts) {
+        request_view(host);
+    }
+}
+
+void gossip::record_own_reads(base::instant current_as_of) {
+    policy::merge(evidence_.own_, {current_as_of, current_as_of});
+}
+
+// Keeps the evidence for what peers may pull: there is none for a value whose newest version was
+// rejected here, and that for a host list which is not passed on gets older.
+void gossip::note_passed_on_evidence() {
+    const policy::evidence_times here = evidence();
+    passed_on_evidence_.rules_ =
+        configuration_.rejects_newest(config_value_kind::rules) ? base::instant{} : here.rules_;
+    if (configuration_.rejects_newest(config_value_kind::hosts)) {
+        passed_on_evidence_.hosts_ = {};
+    } else if (configuration_.is_shared(config_value_kind::hosts)) {
+        passed_on_evidence_.hosts_ = here.hosts_;
+    }
+}
+
+// Returns the evidence that a reply shows. A peer that does not name its age goes by the platform's
+// confirmation, which says nothing of what it passes on.
+policy::evidence_times gossip::evidence_in(const wire::view_answer& reply,
+                                           base::instant requested_at) const {
+    if (reply.__isset.rules_age_ms) {
+        const std::int32_t hosts_age_ms =
+            reply.__isset.hosts_age_ms ? reply.hosts_age_ms : reply.rules_age_ms;
+        return {requested_at - base::milliseconds(reply.rules_age_ms),
+                requested_at - base::milliseconds(hosts_age_ms)};
+    }
+    const bool confirmed =
+        base::milliseconds(reply.versions.confirmed_age_ms) <= options_.max_view_age_;
+    return confirmed ? policy::evidence_times{requested_at, requested_at}
+                     : policy::evidence_times{};
+}
+
+// Takes over a peer's evidence for the values of which the peer has nothing newer.
+void gossip::record_peer_evidence(const wire::config_versions& versions,
+                                  const policy::evidence_times& shown) {
+    const auto has_all = [&](config_value_kind kind, std::int64_t version) {
+        const auto& rejected = configuration_.state(kind).rejected_;
+        return version <= configuration_.version(kind) ||
+               (rejected && rejected->version_ == version);
+    };
+    if (has_all(config_value_kind::rules, versions.rules)) {
+        evidence_.by_peers_.rules_ = std::max(evidence_.by_peers_.rules_, shown.rules_);
+    }
+    if (has_all(config_value_kind::hosts, versions.hosts)) {
+        evidence_.by_peers_.hosts_ = std::max(evidence_.by_peers_.hosts_, shown.hosts_);
     }
 }
 
@@ -263,6 +333,7 @@
     wire::view_answer reply;
     reply.nonce = request.nonce;
     reply.versions = versions();
+    set_evidence(reply, passed_on_evidence_, clock_.now());
     return reply;
 }
 
@@ -281,7 +352,9 @@
     const base::instant confirmed_at =
         requested_at - base::milliseconds(reply.versions.confirmed_age_ms);
     configuration_.confirm(confirmed_at);
-    record_watcher_reply(peer, clock_.now() - confirmed_at <= options_.max_view_age_);
+    const policy::evidence_times shown = evidence_in(reply, requested_at);
+    record_peer_evidence(reply.versions, shown);
+    record_watcher_reply(peer, requested_at - policy::oldest(shown) <= options_.interval_);
     on_versions(peer, reply.versions, send_reply);
 }
 
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -5,7 +5,8 @@
 // of it with the first message and pulls the newer version from the sender. A process that has lost
 // the platform, or that must know how recent its view is, requests the versions of its peers.
 // One that reads the platform with reads that may be old requests those of the hosts that do not,
-// and these request each other's.
+// and these request each other's. Each reply says how old the evidence is that what it passes on is
+// current.
 #pragma once
 
 #include <cstdint>
@@ -21,6 +22,7 @@
 #include "policy/config_pull.h"
 #include "policy/copy_budget.h"
 #include "policy/store_watchers.h"
+#include "policy/view_evidence.h"
 #include "policy/zone_view.h"
 #include "wire/gen/fleet_types.h"
 
@@ -87,6 +89,9 @@
     // Records whether the last request to the platform failed.
     void set_platform_failing(bool failing) { platform_failing_ = failing; }
 
+    // Records the time as of which this host's own reads of the platform are current.
+    void record_own_reads(base::instant current_as_of);
+
     // Sends the version requests that are due, and pulls newer versions that neither the platform
     // nor a further message of the peer has brought. `platform_available` is false while the
     // platform does not reply.
@@ -95,9 +100,13 @@
     // Returns the versions that peers may pull from this process.
     wire::config_versions versions() const;
 
-    // Returns true if this host is one of those that watch the platform with current reads.
+    // Returns true if this host is one of those that watch the platform with current reads for
+    // others.
     bool watches_platform() const { return watchers_.watches_; }
 
+    // Returns the times as of which the values are known to be current here.
+    policy::evidence_times evidence() const { return policy::newest(evidence_); }
+
     // Returns true once this process may serve. In strict mode it must first have compared both
     // values with more than half of its zone and, if there are other zones, with a host of one of
     // them, and have caught up with the newest versions seen, or have waited for this until the
@@ -125,6 +134,12 @@
     void request_watchers_view();
     void exchange_between_watchers(base::instant now);
     void record_watcher_reply(const std::string& peer, bool recent);
+    void request_views_of(const std::vector<std::string>& hosts);
+    policy::evidence_times evidence_in(const wire::view_answer& reply,
+                                       base::instant requested_at) const;
+    void record_peer_evidence(const wire::config_versions& versions,
+                              const policy::evidence_times& shown);
+    void note_passed_on_evidence();
     policy::reachable_check reachable_check() const;
     policy::absent_check absent_check() const;
     bool pulls_from_peer() const;
@@ -148,6 +163,9 @@
     std::vector<std::string> other_zone_hosts_;
     // Hosts that watch the platform with current reads.
     policy::watcher_view watchers_;
+    policy::view_evidence evidence_;
+    // The evidence for what peers may pull from here.
+    policy::evidence_times passed_on_evidence_;
     base::random_engine random_;
     // Version requests that await a reply, by nonce.
     std::unordered_map<std::int64_t, pending_request> pending_requests_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -182,6 +182,9 @@
 
 // Runs the periodic work of the controllers.
 void node::tick() {
+    if (const auto current_as_of = feed_->current_as_of()) {
+        gossip_.record_own_reads(*current_as_of);
+    }
     gossip_.tick(feed_->platform_available());
     feed_->set_current_reads(gossip_.watches_platform());
     quota_.tick();
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -278,6 +278,11 @@
 struct view_answer {
     1: i64 nonce
     2: config_versions versions
+    // Time in milliseconds for which a change at the platform may be missing from the rules that
+    // the sender passes on. Set if the sender knows it.
+    3: optional i32 rules_age_ms
+    // The same for the host list, if it is another time.
+    4: optional i32 hosts_age_ms
 }
 
 // Requests tokens of an organisation's quota.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -4529,6 +4529,16 @@
 void view_answer::__set_versions(const config_versions& val) {
   this->versions = val;
 }
+
+void view_answer::__set_rules_age_ms(const int32_t val) {
+  this->rules_age_ms = val;
+__isset.rules_age_ms = true;
+}
+
+void view_answer::__set_hosts_age_ms(const int32_t val) {
+  this->hosts_age_ms = val;
+__isset.hosts_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const view_answer& obj)
 {
   obj.printTo(out);
@@ -4573,6 +4583,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rules_age_ms);
+          this->__isset.rules_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->hosts_age_ms);
+          this->__isset.hosts_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4598,6 +4624,16 @@
   xfer += this->versions.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.rules_age_ms) {
+    xfer += oprot->writeFieldBegin("rules_age_ms", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->rules_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.hosts_age_ms) {
+    xfer += oprot->writeFieldBegin("hosts_age_ms", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->hosts_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4607,28 +4643,38 @@
   using ::std::swap;
   swap(a.nonce, b.nonce);
   swap(a.versions, b.versions);
+  swap(a.rules_age_ms, b.rules_age_ms);
+  swap(a.hosts_age_ms, b.hosts_age_ms);
   swap(a.__isset, b.__isset);
 }
 
 view_answer::view_answer(const view_answer& other146) noexcept {
   nonce = other146.nonce;
   versions = other146.versions;
+  rules_age_ms = other146.rules_age_ms;
+  hosts_age_ms = other146.hosts_age_ms;
   __isset = other146.__isset;
 }
 view_answer::view_answer(view_answer&& other147) noexcept {
   nonce = other147.nonce;
   versions = std::move(other147.versions);
+  rules_age_ms = other147.rules_age_ms;
+  hosts_age_ms = other147.hosts_age_ms;
   __isset = other147.__isset;
 }
 view_answer& view_answer::operator=(const view_answer& other148) noexcept {
   nonce = other148.nonce;
   versions = other148.versions;
+  rules_age_ms = other148.rules_age_ms;
+  hosts_age_ms = other148.hosts_age_ms;
   __isset = other148.__isset;
   return *this;
 }
 view_answer& view_answer::operator=(view_answer&& other149) noexcept {
   nonce = other149.nonce;
   versions = std::move(other149.versions);
+  rules_age_ms = other149.rules_age_ms;
+  hosts_age_ms = other149.hosts_age_ms;
   __isset = other149.__isset;
   return *this;
 }
@@ -4637,6 +4683,8 @@
   out << "view_answer(";
   out << "nonce=" << to_string(nonce);
   out << ", " << "versions=" << to_string(versions);
+  out << ", " << "rules_age_ms="; (__isset.rules_age_ms ? (out << to_string(rules_age_ms)) : (out << "<null>"));
+  out << ", " << "hosts_age_ms="; (__isset.hosts_age_ms ? (out << to_string(hosts_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -1791,9 +1791,11 @@
 std::ostream& operator<<(std::ostream& out, const view_question& obj);
 
 typedef struct _view_answer__isset {
-  _view_answer__isset() : nonce(false), versions(false) {}
+  _view_answer__isset() : nonce(false), versions(false), rules_age_ms(false), hosts_age_ms(false) {}
   bool nonce :1;
   bool versions :1;
+  bool rules_age_ms :1;
+  bool hosts_age_ms :1;
 } _view_answer__isset;
 
 class view_answer : public virtual ::apache::thrift::TBase {
@@ -1804,12 +1806,16 @@
   view_answer& operator=(const view_answer&) noexcept;
   view_answer& operator=(view_answer&&) noexcept;
   view_answer() noexcept
-              : nonce(0) {
+              : nonce(0),
+                rules_age_ms(0),
+                hosts_age_ms(0) {
   }
 
   virtual ~view_answer() noexcept;
   int64_t nonce;
   config_versions versions;
+  int32_t rules_age_ms;
+  int32_t hosts_age_ms;
 
   _view_answer__isset __isset;
 
@@ -1817,12 +1823,24 @@
 
   void __set_versions(const config_versions& val);
 
+  void __set_rules_age_ms(const int32_t val);
+
+  void __set_hosts_age_ms(const int32_t val);
+
   bool operator == (const view_answer & rhs) const
   {
     if (!(nonce == rhs.nonce))
       return false;
     if (!(versions == rhs.versions))
       return false;
+    if (__isset.rules_age_ms != rhs.__isset.rules_age_ms)
+      return false;
+    else if (__isset.rules_age_ms && !(rules_age_ms == rhs.rules_age_ms))
+      return false;
+    if (__isset.hosts_age_ms != rhs.__isset.hosts_age_ms)
+      return false;
+    else if (__isset.hosts_age_ms && !(hosts_age_ms == rhs.hosts_age_ms))
+      return false;
     return true;
   }
   bool operator != (const view_answer &rhs) const {
--- a/tests/support/gossip_fleet.cpp
+++ b/tests/support/gossip_fleet.cpp
@@ -253,6 +253,9 @@
                 host->configuration_.confirm(clock_.now());
                 host->current_until_ = clock_.now();
             }
+            if (host->current_until_ > base::instant{}) {
+                host->gossip_.record_own_reads(std::min(clock_.now(), host->current_until_));
+            }
             host->gossip_.tick(host->platform_available_);
         }
     }
--- a/tests/view_evidence_test.cpp
+++ b/tests/view_evidence_test.cpp
@@ -1,5 +1,5 @@
-// The hosts that read the platform currently for others were never there, while all relaxed reads
-// are too old to help.
+// The hosts that read the platform currently for others hold back what they know, or were never
+// there, while all relaxed reads are too old to help.
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -88,3 +88,22 @@
     CHECK(count_late(calm.fleet_, unable, config_value_kind::rules) == 0);
     CHECK(count_late(calm.fleet_, unable, config_value_kind::hosts) == 0);
 }
+
+// Guards against review/12: a host that had been cut off from the platform held its list back, and
+// its zone took what it passed on for recent.
+TEST_CASE("a host list that its reader holds back comes from another zone in time") {
+    for (base::duration phase{}; phase < base::milliseconds(500); phase += gossip_tick) {
+        calm_fleet calm(9);
+        std::vector<bool> holding(9);
+        std::size_t watcher = 0;
+        while (!calm.fleet_.watches_platform(watcher)) {
+            ++watcher;
+        }
+        holding[watcher] = true;
+        calm.fleet_.run(phase);
+        calm.fleet_.configuration_of(watcher).set_hold({true, {}, false});
+        calm.fleet_.offer_to(watcher, config_value_kind::hosts, 2, calm.lines_);
+        run_change(calm, holding);
+        CHECK(count_late(calm.fleet_, holding, config_value_kind::hosts) == 0);
+    }
+}
