A host without recent evidence reads the store currently by itself

What callers saw: review/13. After the hosts that read the store currently had lost power, the others accepted a withdrawn key until 2.9 s after the ack; 2 s are allowed.

Cause: a host that got no recent reply from a reading host went on with relaxed reads.

Change: after five checks of 50 ms in a row without evidence younger than 0.75 s a host reads currently until a watching host shows recent evidence again; in fleets of more than 80 hosts a random part begins in each check, and the others ask hosts of their zone.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -22,6 +22,11 @@
 // Time after which a process with a configuration serves even if it could not compare it with its
 // peers.
 constexpr base::duration max_sync_wait = base::seconds(2);
+// Interval at which a host without recent evidence asks hosts that do not watch the platform.
+constexpr base::duration search_interval = base::milliseconds(250);
+// A pull that has been without a reply for this long may have failed, as far as the bounds on
+// changes are concerned.
+constexpr base::duration usual_reply_time = base::milliseconds(400);
 // Age reported for any older confirmation, and while there was none.
 constexpr std::int64_t max_reported_age_ms = 1'000'000'000;
 
@@ -172,6 +177,9 @@
     pull_from_known_source(config_value_kind::rules);
     pull_from_known_source(config_value_kind::hosts);
     note_passed_on_evidence();
+    if (!options_.strict_) {
+        check_evidence(platform_available);
+    }
     if (!options_.strict_ && watches_platform()) {
         exchange_between_watchers(now);
     }
@@ -278,6 +286,37 @@
     }
 }
 
+// Returns true if a newer version is on its way, so that missing evidence is no reason to read the
+// platform. A pull that takes unusually long may have failed.
+bool gossip::waits_for_pull() const {
+    const auto is_overdue = [&](const value_exchange& exchange) {
+        const auto& outstanding = exchange.pull_.outstanding_;
+        return outstanding && clock_.now() - outstanding->sent_at_ >= usual_reply_time;
+    };
+    return pulls_from_peer() && !is_overdue(rules_exchange_) && !is_overdue(hosts_exchange_);
+}
+
+// Looks for evidence elsewhere where the hosts that watch the platform do not show any: at those of
+// other zones, at any host, and at the platform itself.
+void gossip::check_evidence(bool platform_available) {
+    const base::instant now = clock_.now();
+    // A host that had lost the platform keeps missing targets in use; no other evidence ends that.
+    if (watches_platform() || !platform_available || configuration_.is_holding()) {
+        policy::skip_check(evidence_);
+        return;
+    }
+    if (waits_for_pull()) {
+        return;
+    }
+    request_views_of(policy::watchers_after_silence(watchers_, reachable_check(), now));
+    policy::check_evidence(evidence_, options_.interval_, configuration_.hosts()->hosts_.size(),
+                           watchers_.asked_nobody_, random_, now);
+    if (policy::lacks_evidence(evidence_) && !evidence_.reads_currently_ && now >= next_search_) {
+        next_search_ = now + search_interval;
+        request_some_views(view_.members_);
+    }
+}
+
 // Requests the view of one other host that watches the platform.
 void gossip::exchange_between_watchers(base::instant now) {
     if (now < next_watcher_round_) {
@@ -353,7 +392,10 @@
         requested_at - base::milliseconds(reply.versions.confirmed_age_ms);
     configuration_.confirm(confirmed_at);
     const policy::evidence_times shown = evidence_in(reply, requested_at);
-    record_peer_evidence(reply.versions, shown);
+    // Hosts that read currently for lack of evidence must not end that on each other's account.
+    if (!evidence_.reads_currently_ || policy::is_watcher(watchers_, peer)) {
+        record_peer_evidence(reply.versions, shown);
+    }
     record_watcher_reply(peer, requested_at - policy::oldest(shown) <= options_.interval_);
     on_versions(peer, reply.versions, send_reply);
 }
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -104,6 +104,10 @@
     // others.
     bool watches_platform() const { return watchers_.watches_; }
 
+    // Returns true if this host is to read the platform currently: for others, or because it has no
+    // recent evidence from others.
+    bool reads_currently() const { return watches_platform() || evidence_.reads_currently_; }
+
     // Returns the times as of which the values are known to be current here.
     policy::evidence_times evidence() const { return policy::newest(evidence_); }
 
@@ -140,6 +144,8 @@
     void record_peer_evidence(const wire::config_versions& versions,
                               const policy::evidence_times& shown);
     void note_passed_on_evidence();
+    void check_evidence(bool platform_available);
+    bool waits_for_pull() const;
     policy::reachable_check reachable_check() const;
     policy::absent_check absent_check() const;
     bool pulls_from_peer() const;
@@ -166,6 +172,8 @@
     policy::view_evidence evidence_;
     // The evidence for what peers may pull from here.
     policy::evidence_times passed_on_evidence_;
+    // The next request for evidence at other hosts than those that watch.
+    base::instant next_search_{};
     base::random_engine random_;
     // Version requests that await a reply, by nonce.
     std::unordered_map<std::int64_t, pending_request> pending_requests_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -186,18 +186,30 @@
         gossip_.record_own_reads(*current_as_of);
     }
     gossip_.tick(feed_->platform_available());
-    feed_->set_current_reads(gossip_.watches_platform());
+    set_current_reads();
     quota_.tick();
     retry_loans_.tick();
     members_->tick();
     tick_timer_->start(tick_interval, [this] { tick(); });
 }
 
+// Lets the feed read currently as long as this host needs it.
+void node::set_current_reads() {
+    const bool enabled = gossip_.reads_currently();
+    if (enabled == reads_currently_) {
+        return;
+    }
+    reads_currently_ = enabled;
+    feed_->set_current_reads(enabled);
+    record("current_reads", {{"enabled", enabled ? "true" : "false"},
+                             {"for_others", gossip_.watches_platform() ? "true" : "false"}});
+}
+
 void node::on_accepted(control::config_value_kind kind) {
     gossip_.on_accepted(kind);
     if (kind == control::config_value_kind::hosts) {
         gossip_.on_hosts_changed();
-        feed_->set_current_reads(gossip_.watches_platform());
+        set_current_reads();
         members_->on_hosts_changed();
         links_->update_hosts(*configuration_.hosts());
         quota_.on_hosts_changed();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -71,6 +71,7 @@
     void open_feed();
     void on_hold(const control::platform_hold& hold);
     void tick();
+    void set_current_reads();
     void on_accepted(control::config_value_kind kind);
     void on_update(const std::string& peer, const wire::config_update& update,
                    const control::frame_sender& reply);
@@ -119,6 +120,8 @@
     std::unique_ptr<control::config_feed> feed_;
     std::unique_ptr<net::timer> drain_timer_;
     std::unique_ptr<net::timer> tick_timer_;
+    // The feed reads the platform currently.
+    bool reads_currently_ = false;
     bool draining_ = false;
     // Valid once `draining_` is set.
     policy::planned_stop stop_;
--- a/src/policy/view_evidence.cpp
+++ b/src/policy/view_evidence.cpp
@@ -4,6 +4,19 @@
 
 namespace dandelionridge::policy {
 
+namespace {
+
+// Returns true for one check in `fleet / own_readers_per_check`, and for each in a small fleet.
+bool is_drawn(std::size_t fleet, base::random_engine& random) {
+    constexpr std::uint64_t resolution = 1'000'000;
+    const double share =
+        own_readers_per_check / static_cast<double>(std::max<std::size_t>(1, fleet));
+    return static_cast<double>(base::random_below(random, resolution)) <
+           share * static_cast<double>(resolution);
+}
+
+}  // namespace
+
 void merge(evidence_times& known, const evidence_times& other) {
     known.rules_ = std::max(known.rules_, other.rules_);
     known.hosts_ = std::max(known.hosts_, other.hosts_);
@@ -19,4 +32,29 @@
     return times;
 }
 
+bool lacks_evidence(const view_evidence& evidence) {
+    return evidence.checks_without_ >= checks_before_own_reads;
+}
+
+void check_evidence(view_evidence& evidence, base::duration interval, std::size_t fleet,
+                    bool nobody_asked, base::random_engine& random, base::instant now) {
+    // Its own reads are no reason to end them.
+    const evidence_times times = evidence.reads_currently_ ? evidence.by_peers_ : newest(evidence);
+    if (now - oldest(times) <= interval + reply_allowance) {
+        skip_check(evidence);
+        return;
+    }
+    evidence.checks_without_ = nobody_asked
+                                   ? std::max(evidence.checks_without_ + 1, checks_before_own_reads)
+                                   : evidence.checks_without_ + 1;
+    if (!evidence.reads_currently_ && lacks_evidence(evidence)) {
+        evidence.reads_currently_ = is_drawn(fleet, random);
+    }
+}
+
+void skip_check(view_evidence& evidence) {
+    evidence.checks_without_ = 0;
+    evidence.reads_currently_ = false;
+}
+
 }  // namespace dandelionridge::policy
--- a/tests/support/gossip_fleet.cpp
+++ b/tests/support/gossip_fleet.cpp
@@ -167,7 +167,7 @@
 }
 
 bool gossip_fleet::reads_currently(std::size_t number) const {
-    return hosts_[number]->gossip_.watches_platform();
+    return hosts_[number]->gossip_.reads_currently();
 }
 
 std::size_t gossip_fleet::bytes_sent_by(std::size_t number) const {
@@ -249,7 +249,7 @@
             if (host->frozen_) {
                 continue;
             }
-            if (host->gossip_.watches_platform() && host->platform_confirms_) {
+            if (host->gossip_.reads_currently() && host->platform_confirms_) {
                 host->configuration_.confirm(clock_.now());
                 host->current_until_ = clock_.now();
             }
--- a/tests/view_evidence_test.cpp
+++ b/tests/view_evidence_test.cpp
@@ -1,9 +1,10 @@
-// The hosts that read the platform currently for others hold back what they know, or were never
-// there, while all relaxed reads are too old to help.
+// The hosts that read the platform currently for others are lost, hold back what they know, or were
+// never there, while all relaxed reads are too old to help.
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "policy/view_evidence.h"
 #include "support/gossip_fleet.h"
 
 using namespace dandelionridge;
@@ -71,6 +72,14 @@
     return late;
 }
 
+std::vector<bool> all_watchers(const gossip_fleet& fleet) {
+    std::vector<bool> watchers(fleet.size());
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        watchers[number] = fleet.watches_platform(number);
+    }
+    return watchers;
+}
+
 }  // namespace
 
 // Guards against review/11: entries of a service that no configuration names were taken for hosts
@@ -107,3 +116,59 @@
         CHECK(count_late(calm.fleet_, holding, config_value_kind::hosts) == 0);
     }
 }
+
+// Guards against review/13: all hosts that watch the platform lost power at once, and the others
+// went on with relaxed reads until the entries of the lost ones expired.
+TEST_CASE("the others keep the bounds after the loss of all hosts that watch") {
+    for (const link_fault loss : {link_fault::closed, link_fault::loses_all}) {
+        for (const std::size_t count : {6U, 36U, 234U}) {
+            for (base::duration phase{}; phase < base::milliseconds(500); phase += gossip_tick) {
+                INFO(count << " hosts, phase " << base::whole_ms(phase) << " ms");
+                calm_fleet calm(count);
+                const std::vector<bool> lost = all_watchers(calm.fleet_);
+                calm.fleet_.run(phase);
+                for (std::size_t number = 0; number < count; ++number) {
+                    if (lost[number]) {
+                        calm.fleet_.freeze(number);
+                        calm.fleet_.set_link_fault(number, loss);
+                    }
+                }
+                run_change(calm, lost);
+                CHECK(count_late(calm.fleet_, lost, config_value_kind::rules) == 0);
+                CHECK(count_late(calm.fleet_, lost, config_value_kind::hosts) == 0);
+            }
+        }
+    }
+}
+
+// Guards against: each host reads currently in a small disturbance, or all of a large fleet at
+// once, above the rate that the platform takes.
+TEST_CASE("hosts begin to read currently by and by in a large fleet, and not after a short gap") {
+    constexpr base::duration interval = base::milliseconds(500);
+    const base::instant start = base::instant{} + base::seconds(100);
+    base::random_engine random(1);
+    policy::view_evidence evidence;
+    evidence.by_peers_ = {start, start};
+    for (int check = 0; check < policy::checks_before_own_reads; ++check) {
+        policy::check_evidence(evidence, interval, 6, false, random, start + interval);
+    }
+    CHECK_FALSE(evidence.reads_currently_);
+    // A process that stood still finds its evidence old at the first check, with replies unread.
+    policy::check_evidence(evidence, interval, 6, false, random, start + base::seconds(3));
+    CHECK_FALSE(evidence.reads_currently_);
+
+    constexpr std::size_t fleet = 5000;
+    constexpr int checks_per_second = 20;
+    std::vector<policy::view_evidence> hosts(fleet);
+    std::size_t readers = 0;
+    for (int check = 0; check < checks_per_second; ++check) {
+        for (policy::view_evidence& host : hosts) {
+            policy::check_evidence(host, interval, fleet, true, random, start);
+        }
+    }
+    for (const policy::view_evidence& host : hosts) {
+        readers += host.reads_currently_ ? 1 : 0;
+    }
+    CHECK(readers > 500);
+    CHECK(readers < 2000);
+}
