--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -27,6 +27,9 @@
 // A pull that has been without a reply for this long may have failed, as far as the bounds on
 // changes are concerned.
 constexpr base::duration usual_reply_time = base::milliseconds(400);
+// Time after the start in which a host neither expects replies nor needs them: it has just read the
+// platform, and its links are opened.
+constexpr base::duration start_time = base::seconds(3);
 // Age reported for any older confirmation, and while there was none.
 constexpr std::int64_t max_reported_age_ms = 1'000'000'000;
 
@@ -111,6 +114,7 @@
       peers_(peers),
       options_(std::move(options)),
       random_(random),
+      started_at_(clock.now()),
       copy_budget_(policy::make_copy_budget(options_.link_bytes_per_second_, clock.now())) {
     view_.self_ = options_.host_;
     watchers_.next_zone_ = random_();
@@ -270,20 +274,26 @@
                      : policy::evidence_times{};
 }
 
-// Takes over a peer's evidence for the values of which the peer has nothing newer.
+// Takes over a peer's evidence for each value, at once or as soon as this host has the peer's
+// version.
 void gossip::record_peer_evidence(const wire::config_versions& versions,
                                   const policy::evidence_times& shown) {
-    const auto has_all = [&](config_value_kind kind, std::int64_t version) {
+    policy::record_pending(evidence_.pending_rules_, versions.rules, shown.rules_);
+    policy::record_pending(evidence_.pending_hosts_, versions.hosts, shown.hosts_);
+    apply_pending_evidence();
+}
+
+void gossip::apply_pending_evidence() {
+    // A version that was rejected here cannot be put in force, whatever the evidence.
+    const auto known_version = [&](config_value_kind kind) {
         const auto& rejected = configuration_.state(kind).rejected_;
-        return version <= configuration_.version(kind) ||
-               (rejected && rejected->version_ == version);
+        return std::max(configuration_.version(kind), rejected ? rejected->version_ : 0);
     };
-    if (has_all(config_value_kind::rules, versions.rules)) {
-        evidence_.by_peers_.rules_ = std::max(evidence_.by_peers_.rules_, shown.rules_);
-    }
-    if (has_all(config_value_kind::hosts, versions.hosts)) {
-        evidence_.by_peers_.hosts_ = std::max(evidence_.by_peers_.hosts_, shown.hosts_);
-    }
+    const base::instant rules =
+        policy::take_evidence(evidence_.pending_rules_, known_version(config_value_kind::rules));
+    const base::instant hosts =
+        policy::take_evidence(evidence_.pending_hosts_, known_version(config_value_kind::hosts));
+    policy::merge(evidence_.by_peers_, {rules, hosts});
 }
 
 // Returns true if a newer version is on its way, so that missing evidence is no reason to read the
@@ -301,7 +311,8 @@
 void gossip::check_evidence(bool platform_available) {
     const base::instant now = clock_.now();
     // A host that had lost the platform keeps missing targets in use; no other evidence ends that.
-    if (watches_platform() || !platform_available || configuration_.is_holding()) {
+    const bool just_started = now - started_at_ < start_time;
+    if (watches_platform() || !platform_available || configuration_.is_holding() || just_started) {
         policy::skip_check(evidence_);
         return;
     }
@@ -309,8 +320,8 @@
         return;
     }
     request_views_of(policy::watchers_after_silence(watchers_, reachable_check(), now));
-    policy::check_evidence(evidence_, options_.interval_, configuration_.hosts()->hosts_.size(),
-                           watchers_.asked_nobody_, random_, now);
+    policy::check_evidence(evidence_, watchers_.asked_at_, configuration_.hosts()->hosts_.size(),
+                           random_);
     if (policy::lacks_evidence(evidence_) && !evidence_.reads_currently_ && now >= next_search_) {
         next_search_ = now + search_interval;
         request_some_views(view_.members_);
@@ -477,6 +488,7 @@
 }
 
 void gossip::on_accepted(config_value_kind kind) {
+    apply_pending_evidence();
     policy::forget_sources_up_to(exchange_of(kind).pull_, configuration_.version(kind));
 }
 
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -143,6 +143,7 @@
                                        base::instant requested_at) const;
     void record_peer_evidence(const wire::config_versions& versions,
                               const policy::evidence_times& shown);
+    void apply_pending_evidence();
     void note_passed_on_evidence();
     void check_evidence(bool platform_available);
     bool waits_for_pull() const;
@@ -175,6 +176,7 @@
     // The next request for evidence at other hosts than those that watch.
     base::instant next_search_{};
     base::random_engine random_;
+    base::instant started_at_{};
     // Version requests that await a reply, by nonce.
     std::unordered_map<std::int64_t, pending_request> pending_requests_;
     std::int64_t next_nonce_ = 1;
--- a/src/policy/store_watchers.cpp
+++ b/src/policy/store_watchers.cpp
@@ -115,7 +115,6 @@
     if (view.asked_others_) {
         append_others(asked, view, reachable);
     }
-    view.asked_nobody_ = asked.empty();
     return asked;
 }
 
--- a/src/policy/store_watchers.h
+++ b/src/policy/store_watchers.h
@@ -57,8 +57,6 @@
     bool zone_replied_ = false;
     // Those of other zones have been asked in this round.
     bool asked_others_ = false;
-    // No watching host could be asked in this round.
-    bool asked_nobody_ = false;
     // Start of this round.
     base::instant asked_at_{};
 };
--- a/src/policy/view_evidence.cpp
+++ b/src/policy/view_evidence.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Replies of a few seconds.
+constexpr std::size_t max_pending_evidence = 16;
+
 // Returns true for one check in `fleet / own_readers_per_check`, and for each in a small fleet.
 bool is_drawn(std::size_t fleet, base::random_engine& random) {
     constexpr std::uint64_t resolution = 1'000'000;
@@ -36,17 +39,35 @@
     return evidence.checks_without_ >= checks_before_own_reads;
 }
 
-void check_evidence(view_evidence& evidence, base::duration interval, std::size_t fleet,
-                    bool nobody_asked, base::random_engine& random, base::instant now) {
+void record_pending(std::vector<pending_evidence>& pending, std::int64_t version,
+                    base::instant as_of) {
+    if (pending.size() == max_pending_evidence) {
+        pending.erase(pending.begin());
+    }
+    pending.push_back({version, as_of});
+}
+
+base::instant take_evidence(std::vector<pending_evidence>& pending, std::int64_t version) {
+    base::instant best{};
+    std::erase_if(pending, [&](const pending_evidence& entry) {
+        if (entry.version_ > version) {
+            return false;
+        }
+        best = std::max(best, entry.as_of_);
+        return true;
+    });
+    return best;
+}
+
+void check_evidence(view_evidence& evidence, base::instant asked_at, std::size_t fleet,
+                    base::random_engine& random) {
     // Its own reads are no reason to end them.
     const evidence_times times = evidence.reads_currently_ ? evidence.by_peers_ : newest(evidence);
-    if (now - oldest(times) <= interval + reply_allowance) {
+    if (asked_at - oldest(times) <= evidence_allowance) {
         skip_check(evidence);
         return;
     }
-    evidence.checks_without_ = nobody_asked
-                                   ? std::max(evidence.checks_without_ + 1, checks_before_own_reads)
-                                   : evidence.checks_without_ + 1;
+    ++evidence.checks_without_;
     if (!evidence.reads_currently_ && lacks_evidence(evidence)) {
         evidence.reads_currently_ = is_drawn(fleet, random);
     }
