A missing target stays in use although another writer's entry names its host

Cause: in the hold after an outage a target with a missing entry was kept only if no listed entry has its host's address. An odd entry of another writer at that address took its place, and the sound target was not used until its entry was back.

Change: of the listed and the kept entry of a host, the one started later is used.

--- a/src/control/known_targets.cpp
+++ b/src/control/known_targets.cpp
@@ -34,6 +34,11 @@
         [&](const config::target_entry& target) { return targets.contains(target.name_); });
 }
 
+bool is_started_later(const config::host_entry& left, const config::host_entry& right) {
+    return !left.targets_.empty() && !right.targets_.empty() &&
+           stamp_of(right.targets_.front()) < stamp_of(left.targets_.front());
+}
+
 void drop_oldest(removed_targets& removed) {
     while (removed.order_.size() > max_removed_targets) {
         removed.stamps_.erase(removed.order_.front());
@@ -88,17 +93,23 @@
         return listed;
     }
     std::vector<config::host_entry> hosts;
-    std::set<std::string_view> names;
+    std::unordered_map<std::string_view, std::size_t> positions;
     for (const config::host_entry& host : listed->hosts_) {
         if (!has_target_in(host, outdated)) {
+            positions[host.name_] = hosts.size();
             hosts.push_back(host);
-            names.insert(host.name_);
         }
     }
     for (const config::host_entry& host : in_use.hosts_) {
-        const bool kept = has_target_in(host, outdated) || has_target_in(host, missing);
-        if (kept && !names.contains(host.name_)) {
+        if (!has_target_in(host, outdated) && !has_target_in(host, missing)) {
+            continue;
+        }
+        const auto found = positions.find(host.name_);
+        if (found == positions.end()) {
             hosts.push_back(host);
+        } else if (is_started_later(host, hosts[found->second])) {
+            // Another writer's entry names the same host.
+            hosts[found->second] = host;
         }
     }
     // Cannot fail, since no host was added that is listed.
