A host that holds its list back names no version of it

Cause: a host in a hold went on naming the version of its last list that was passed on, yet refused to send it, so others asked it in vain, and asked nobody else for as long as they took the version to be on its way.

Change: it names version 0, has no evidence for the list from the first reply on, and a refusal that names nothing newer removes it as a source. The version of the list before is no longer kept.

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -90,7 +90,6 @@
         value.previous_ = std::move(value.lines_);
     }
     value.lines_ = std::move(lines);
-    note_shared_version();
     notify(kind);
     return offer_outcome::accepted;
 }
@@ -129,7 +128,6 @@
     }
     const config::hosts_ptr before = hosts_;
     use_listed_hosts();
-    note_shared_version();
     if (hosts_ != before) {
         notify(config_value_kind::hosts);
     }
@@ -140,14 +138,8 @@
            (!hold_.active_ && outdated_targets_.empty() && policy::follows_list(evacuations_));
 }
 
-void configuration::note_shared_version() {
-    if (is_shared(config_value_kind::hosts)) {
-        shared_hosts_version_ = version(config_value_kind::hosts);
-    }
-}
-
 std::int64_t configuration::shared_version(config_value_kind kind) const {
-    return kind == config_value_kind::rules ? version(kind) : shared_hosts_version_;
+    return is_shared(kind) ? version(kind) : 0;
 }
 
 offer_outcome configuration::offer_lines(config_value_kind kind, std::int64_t version,
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -112,11 +112,7 @@
     // entries or evacuations that are older than those known, which stay in use instead.
     void set_hold(const platform_hold& hold);
 
-    // Returns true while missing targets stay in use after an outage.
-    bool is_holding() const { return hold_.active_; }
-
-    // Returns the version of a value that peers may pull: of a host list that is not passed on,
-    // that of the one before it.
+    // Returns the version of a value that peers may pull; 0 for a host list that is not passed on.
     std::int64_t shared_version(config_value_kind kind) const;
 
     // Returns true if the value in force may be passed on to peers.
@@ -157,7 +153,6 @@
                         const std::vector<std::string>& source_lines);
     void notify(config_value_kind kind);
     void use_listed_hosts();
-    void note_shared_version();
     std::optional<std::string> parse(config_value_kind kind, std::int64_t version,
                                      const std::vector<std::string>& source_lines);
 
@@ -174,8 +169,6 @@
     bool keeps_newer_entries_ = false;
     std::set<std::string> outdated_targets_;
     policy::evacuations evacuations_;
-    // Version of the newest host list that may be passed on to peers.
-    std::int64_t shared_hosts_version_ = 0;
     std::optional<base::instant> confirmed_at_;
     std::vector<std::function<void(config_value_kind)>> listeners_;
 };
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -246,15 +246,15 @@
 }
 
 // Keeps the evidence for what peers may pull: there is none for a value whose newest version was
-// rejected here, and that for a host list which is not passed on gets older.
+// rejected here, nor for a host list that is not passed on.
 void gossip::note_passed_on_evidence() {
-    const policy::evidence_times here = evidence();
-    passed_on_evidence_.rules_ =
-        configuration_.rejects_newest(config_value_kind::rules) ? base::instant{} : here.rules_;
-    if (configuration_.rejects_newest(config_value_kind::hosts)) {
+    passed_on_evidence_ = evidence();
+    if (configuration_.rejects_newest(config_value_kind::rules)) {
+        passed_on_evidence_.rules_ = {};
+    }
+    if (configuration_.rejects_newest(config_value_kind::hosts) ||
+        !configuration_.is_shared(config_value_kind::hosts)) {
         passed_on_evidence_.hosts_ = {};
-    } else if (configuration_.is_shared(config_value_kind::hosts)) {
-        passed_on_evidence_.hosts_ = here.hosts_;
     }
 }
 
@@ -517,6 +517,10 @@
 void gossip::on_busy(const std::string& peer, const wire::config_busy& busy) {
     const config_value_kind kind = to_kind(busy.value);
     policy::config_pull& pull = exchange_of(kind).pull_;
+    if (busy.version <= configuration_.version(kind)) {
+        policy::record_no_source(pull, peer);
+        return;
+    }
     policy::record_busy(pull, peer, busy.version, busy.hosts, random_, clock_.now());
     policy::forget_sources_up_to(pull, configuration_.version(kind));
 }
--- a/src/policy/config_pull.cpp
+++ b/src/policy/config_pull.cpp
@@ -98,6 +98,12 @@
     ++pull.busy_replies_;
 }
 
+void record_no_source(config_pull& pull, const std::string& peer) {
+    end_request(pull, peer);
+    std::erase_if(pull.sources_,
+                  [&](const config_pull::source& known) { return known.peer_ == peer; });
+}
+
 void record_reply(config_pull& pull, const std::string& peer) {
     end_request(pull, peer);
     pull.failures_ = 0;
--- a/src/policy/config_pull.h
+++ b/src/policy/config_pull.h
@@ -60,6 +60,9 @@
                  std::span<const std::string> other_sources, base::random_engine& random,
                  base::instant now);
 
+// Records that a peer passes nothing on at present: it is no source any more.
+void record_no_source(config_pull& pull, const std::string& peer);
+
 // Records that a peer's reply was used.
 void record_reply(config_pull& pull, const std::string& peer);
 
