A pull whose peer has just failed no longer keeps a host from asking others

Cause: while a newer version was known, a host asked nobody for 1.5 s, also when no source of it could be reached, or when its request had no reply; a request was repeated after 1 s; and versions of other zones waited 0.25 s longer for a zone that did not reply.

Change: a version counts as on its way only with a source that can be reached and that has not left the request unanswered for 0.4 s; the first request is repeated at another source after 0.4 s; the wait for the own zone needs a reply from it.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -222,14 +222,18 @@
 bool gossip::pulls_from_peer() const {
     const base::duration usual_pull_time = options_.platform_lead_ + 2 * options_.interval_;
     const auto pulls = [&](const value_exchange& exchange) {
-        const auto behind_since = exchange.pull_.behind_since_;
-        return behind_since && clock_.now() - *behind_since < usual_pull_time;
+        const policy::config_pull& pull = exchange.pull_;
+        const bool has_source =
+            std::any_of(pull.sources_.begin(), pull.sources_.end(),
+                        [&](const auto& source) { return peers_.reachable(source.peer_); });
+        return pull.behind_since_ && has_source &&
+               clock_.now() - *pull.behind_since_ < usual_pull_time;
     };
     return pulls(rules_exchange_) || pulls(hosts_exchange_);
 }
 
 void gossip::request_watchers_view() {
-    if (pulls_from_peer()) {
+    if (waits_for_pull()) {
         return;
     }
     request_views_of(policy::watchers_to_ask(watchers_, reachable_check(), clock_.now()));
@@ -310,9 +314,8 @@
 // other zones, at any host, and at the platform itself.
 void gossip::check_evidence(bool platform_available) {
     const base::instant now = clock_.now();
-    // A host that had lost the platform keeps missing targets in use; no other evidence ends that.
     const bool just_started = now - started_at_ < start_time;
-    if (watches_platform() || !platform_available || configuration_.is_holding() || just_started) {
+    if (watches_platform() || !platform_available || just_started) {
         policy::skip_check(evidence_);
         return;
     }
@@ -425,7 +428,8 @@
     if (watches_platform() && policy::is_watcher(watchers_, peer)) {
         return watcher_pull_delay;
     }
-    return options_.platform_lead_ + (is_in_zone(peer) ? base::duration::zero() : other_zone_delay);
+    const bool zone_may_offer = !is_in_zone(peer) && watchers_.zone_replied_;
+    return options_.platform_lead_ + (zone_may_offer ? other_zone_delay : base::duration::zero());
 }
 
 void gossip::on_versions(const std::string& peer, const wire::config_versions& seen,
--- a/src/policy/config_pull.cpp
+++ b/src/policy/config_pull.cpp
@@ -11,6 +11,9 @@
 // with each failure, at most this many times, so that a slow link is not sent the same copy again
 // and again.
 constexpr base::duration request_timeout = base::seconds(1);
+// The first request is repeated at another source after this time: a peer that has just failed must
+// not delay a change beyond its bound.
+constexpr base::duration first_request_timeout = base::milliseconds(400);
 constexpr int max_timeout_doublings = 3;
 // Mean delay of the next request after a failure or a busy reply. It doubles likewise.
 constexpr base::duration mean_retry_delay = base::milliseconds(100);
@@ -68,8 +71,11 @@
     if (!pull.outstanding_) {
         return;
     }
-    const int doublings = pull.sources_.size() > 1 ? 0 : pull.failures_;
-    const base::duration timeout = doubled(request_timeout, doublings, max_timeout_doublings);
+    const bool has_other_source = pull.sources_.size() > 1;
+    const int doublings = has_other_source ? 0 : pull.failures_;
+    const base::duration timeout = has_other_source && pull.failures_ == 0
+                                       ? first_request_timeout
+                                       : doubled(request_timeout, doublings, max_timeout_doublings);
     if (now - pull.outstanding_->sent_at_ >= timeout) {
         const std::string peer = pull.outstanding_->peer_;
         record_failure(pull, peer, random, now);
