--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -267,9 +267,11 @@
 policy::evidence_times gossip::evidence_in(const wire::view_answer& reply,
                                            base::instant requested_at) const {
     if (reply.__isset.rules_age_ms) {
+        // No evidence is newer than the question, whatever a peer says.
+        const std::int32_t rules_age_ms = std::max(0, reply.rules_age_ms);
         const std::int32_t hosts_age_ms =
-            reply.__isset.hosts_age_ms ? reply.hosts_age_ms : reply.rules_age_ms;
-        return {requested_at - base::milliseconds(reply.rules_age_ms),
+            reply.__isset.hosts_age_ms ? std::max(0, reply.hosts_age_ms) : rules_age_ms;
+        return {requested_at - base::milliseconds(rules_age_ms),
                 requested_at - base::milliseconds(hosts_age_ms)};
     }
     const bool confirmed =
