--- a/src/control/known_targets.h
+++ b/src/control/known_targets.h
@@ -43,7 +43,8 @@
                                     const removed_targets& removed);
 
 // Returns the listed hosts, but the outdated targets with the state in which they are in use, or
-// not at all if they are not, and the missing ones as they are in use if their host is not listed.
+// not at all if they are not, and the missing ones as they are in use if their host is not listed,
+// or is listed with a target that was started earlier.
 config::hosts_ptr keep_in_use(const config::hosts_ptr& listed, const config::host_list& in_use,
                               const std::set<std::string>& outdated,
                               const std::set<std::string>& missing);
