A fetch that is given up says how much of its response arrived

The issue asks for what tells hypotheses apart before logic changes. 'Did not respond within 3000 ms' was logged alike for a store that is silent and for one whose response is on its way; the second has another remedy. No change of behaviour.

--- a/src/net/http_fetch.cpp
+++ b/src/net/http_fetch.cpp
@@ -14,10 +14,7 @@
 http_fetch::http_fetch(event_loop& loop, fetch_options options, callback done)
     : loop_(loop), options_(std::move(options)), done_(std::move(done)), timeout_timer_(loop) {
     start(max_reused_idle_age);
-    timeout_timer_.start(options_.timeout_, [this] {
-        fail("did not respond within " + std::to_string(base::whole_ms(options_.timeout_)) +
-             " ms of the start of the request");
-    });
+    timeout_timer_.start(options_.timeout_, [this] { on_timeout(); });
 }
 
 // Destroys the request later, since one of its callbacks may be on the stack.
@@ -43,7 +40,23 @@
     response_.headers_ = response.headers_;
 }
 
+// Says how much of the response arrived: a response that was on its way has another remedy than a
+// server that is silent.
+void http_fetch::on_timeout() {
+    std::string problem = "did not respond within " +
+                          std::to_string(base::whole_ms(options_.timeout_)) +
+                          " ms of the start of the request";
+    if (received_at_) {
+        problem += "; " + std::to_string(response_.body_.size()) +
+                   " bytes of the response arrived, the last one " +
+                   std::to_string(base::whole_ms(loop_.clock().now() - *received_at_)) +
+                   " ms before";
+    }
+    fail(problem);
+}
+
 void http_fetch::on_response_body(std::string_view bytes) {
+    received_at_ = loop_.clock().now();
     response_.body_.append(bytes);
     if (response_.body_.size() > options_.max_bytes_) {
         request_->detach();
--- a/src/net/http_fetch.h
+++ b/src/net/http_fetch.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,7 @@
 
 private:
     void start(base::duration max_idle_age);
+    void on_timeout();
     void finish(base::result<fetch_result> outcome);
     void fail(const std::string& problem);
 
@@ -60,6 +62,8 @@
     callback done_;
     bool retried_ = false;
     fetch_result response_;
+    // When the last part of the response's body arrived; empty before the first one.
+    std::optional<base::instant> received_at_;
     timer timeout_timer_;
     std::unique_ptr<http_client_request> request_;
 };
