Failing tests: a large change that comes late while the store's link is full

The client's contract is shown on a real socket: a response of 1.5 s is given up after 1 s. The simulated fleet gains links with a rate (store link shared evenly) and routes in its configuration; without rates it is as before.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -578,3 +578,42 @@
     loop->run();
     CHECK(last == "again");
 }
+
+// Guards against: a large response of a busy server was cut on its way, and requested again from
+// its beginning.
+TEST_CASE("a fetch does not give up a response that is still arriving", "[net][contract]") {
+    constexpr std::size_t pieces = 75;
+    const std::string piece(1000, 'x');
+    std::vector<std::string> sent = {
+        "HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(pieces * piece.size()) + "\r\n\r\n"};
+    sent.insert(sent.end(), pieces, piece);
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const scripted_server server(std::move(sent), ending::keep_open);
+    std::string problem = "no outcome";
+    // The pieces take half a second longer.
+    net::http_fetch fetch(
+        *loop, {.server_ = server.address(), .path_ = "/x", .timeout_ = base::milliseconds(1000)},
+        [&](const base::result<net::fetch_result>& outcome) {
+            problem = outcome ? "" : outcome.error().message_;
+            loop->stop();
+        });
+    loop->run();
+    CHECK(problem.empty());
+}
+
+TEST_CASE("a fetch gives up a response that stops on its way", "[net][contract]") {
+    const base::runtime_clock clock;
+    const auto loop = std::move(net::event_loop::create(clock).value());
+    const scripted_server server({"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf"},
+                                 ending::keep_open);
+    std::string problem;
+    net::http_fetch fetch(
+        *loop, {.server_ = server.address(), .path_ = "/x", .timeout_ = base::milliseconds(500)},
+        [&](const base::result<net::fetch_result>& outcome) {
+            problem = outcome ? "" : outcome.error().message_;
+            loop->stop();
+        });
+    loop->run();
+    CHECK(problem.find("4 bytes") != std::string::npos);
+}
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -1,8 +1,11 @@
 #include "support/platform_fleet.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <utility>
 
+#include "base/hash.h"
 #include "config/settings.h"
 #include "control/gossip.h"
 #include "platform/environment.h"
@@ -21,7 +24,7 @@
 constexpr base::duration watch_wait = base::seconds(2);
 constexpr base::duration max_view_age = base::seconds(5);
 constexpr base::duration entry_expiry = base::milliseconds(5500);
-constexpr double link_bytes_per_second = 1e9 / 8;
+constexpr double fast_link_bytes_per_second = 1e9 / 8;
 constexpr std::uint16_t peer_port = 7070;
 
 // Time until a host without a process is found absent, and one that does not answer unreachable.
@@ -56,6 +59,30 @@
             {"born", 1'700'000'000'000}};
 }
 
+// A route as operators write them; names are drawn, as in real ones.
+json make_route(std::size_t number) {
+    const std::string name = base::sha256_hex("route " + std::to_string(number)).substr(0, 8);
+    return {{"type", "routes"},
+            {"metadata", {{"name", name}}},
+            {"spec",
+             {{"host", name + ".example"},
+              {"prefix", "/" + name.substr(4) + "/"},
+              {"service", "orders"},
+              {"kind", "idempotent"},
+              {"timeoutS", 10},
+              {"targetLatencyS", 2},
+              {"maxAttempts", 3},
+              {"priority", 1}}}};
+}
+
+// Bytes of the configuration that a message carries.
+std::size_t copy_bytes(const wire::config_update& update) {
+    const auto add = [](std::size_t sum, const std::string& line) { return sum + line.size(); };
+    const std::size_t removed =
+        std::accumulate(update.removed.begin(), update.removed.end(), std::size_t{0}, add);
+    return std::accumulate(update.added.begin(), update.added.end(), removed, add);
+}
+
 std::string zone_name(std::size_t zone) {
     return "z" + std::to_string(zone);
 }
@@ -85,7 +112,7 @@
                        .strict_ = false,
                        .platform_lead_ = gather_time,
                        .max_view_age_ = max_view_age,
-                       .link_bytes_per_second_ = link_bytes_per_second},
+                       .link_bytes_per_second_ = host.fleet_.host_link_rate()},
                       base::random_engine(seed)) {
             configuration_.on_accepted([this](config_value_kind kind) {
                 gossip_.on_accepted(kind);
@@ -93,7 +120,8 @@
                     gossip_.on_hosts_changed();
                 }
             });
-            auto client = std::make_unique<simulated_store_client>(host.fleet_.store_);
+            auto client = std::make_unique<simulated_store_client>(host.fleet_.store_,
+                                                                   host.fleet_.host_link_rate());
             client_ = client.get();
             client_->set_path(host.path_);
             feed_ = std::make_unique<platform::store_feed>(
@@ -167,15 +195,19 @@
     store_path path_ = store_path::open;
     host_links links_ = host_links::open;
     base::instant disturbed_at_{};
+    // Until then its link is taken by copies in each direction.
+    base::instant sends_until_{};
+    base::instant receives_until_{};
     // Calls of earlier processes.
     std::size_t earlier_calls_ = 0;
 };
 
 platform_fleet::platform_fleet(std::size_t zones, std::size_t hosts_per_zone, std::uint64_t seed,
-                               base::duration relaxed_lag)
-    : store_(clock_), zones_(zones), seed_(seed) {
+                               base::duration relaxed_lag, link_rates rates)
+    : rates_(rates), store_(clock_), zones_(zones), seed_(seed) {
     clock_.pause();
     store_.set_relaxed_lag(relaxed_lag);
+    store_.set_link_rate(rates.store_);
     change_rules();
     for (std::size_t host = 0; host < zones * hosts_per_zone; ++host) {
         add_host();
@@ -217,16 +249,20 @@
                make_entry(service, ip, zone, "ready", 0).dump());
 }
 
-std::int64_t platform_fleet::change_rules() {
+std::int64_t platform_fleet::change_rules(std::size_t added_routes) {
     ++rules_version_;
+    route_count_ += added_routes;
     char version[9];
     static_cast<void>(
         std::snprintf(version, sizeof(version), "%08x", static_cast<unsigned>(rules_version_)));
     const json service = {{"type", "services"},
                           {"metadata", {{"name", "orders"}}},
                           {"spec", {{"healthPath", "/health"}}}};
-    store_.put("op/config",
-               json{{"version", version}, {"resources", json::array({service})}}.dump());
+    json resources = json::array({service});
+    for (std::size_t route = 0; route < route_count_; ++route) {
+        resources.push_back(make_route(route));
+    }
+    store_.put("op/config", json{{"version", version}, {"resources", resources}}.dump());
     return rules_version_;
 }
 
@@ -286,6 +322,8 @@
 
 void platform_fleet::step() {
     clock_.advance(tick);
+    store_.transfer(tick);
+    deliver_due_copies();
     for (std::size_t host = 0; host < hosts_.size(); ++host) {
         if (is_running(host)) {
             hosts_[host]->process_->step();
@@ -298,11 +336,47 @@
     return found == numbers_.end() ? nullptr : hosts_[found->second].get();
 }
 
+double platform_fleet::host_link_rate() const {
+    return rates_.host_ > 0 ? rates_.host_ : fast_link_bytes_per_second;
+}
+
+// Delivers a message. A copy of a configuration value takes both hosts' links for as long as they
+// need for it.
 void platform_fleet::deliver(std::size_t from, const std::string& to, const wire::frame& frame) {
     fleet_host* receiver = find(to);
+    if (receiver == nullptr) {
+        return;
+    }
+    if (rates_.host_ == 0 || !frame.__isset.update_) {
+        deliver_now(from, receiver->number_, frame);
+        return;
+    }
+    fleet_host& sender = *hosts_[from];
+    const double seconds = static_cast<double>(copy_bytes(frame.update_)) / rates_.host_;
+    const base::instant starts = std::max({now(), sender.sends_until_, receiver->receives_until_});
+    const base::instant due =
+        starts + std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+    sender.sends_until_ = due;
+    receiver->receives_until_ = due;
+    copies_.push_back({due, from, receiver->number_, frame});
+}
+
+void platform_fleet::deliver_due_copies() {
+    const auto first_due = std::stable_partition(
+        copies_.begin(), copies_.end(), [&](const auto& copy) { return copy.due_ > now(); });
+    const std::vector<copy_in_transit> due(std::make_move_iterator(first_due),
+                                           std::make_move_iterator(copies_.end()));
+    copies_.erase(first_due, copies_.end());
+    for (const copy_in_transit& copy : due) {
+        deliver_now(copy.from_, copy.to_, copy.frame_);
+    }
+}
+
+void platform_fleet::deliver_now(std::size_t from, std::size_t to, const wire::frame& frame) {
+    fleet_host* receiver = hosts_[to].get();
     const fleet_host& sender = *hosts_[from];
-    if (receiver == nullptr || !is_running(receiver->number_) || !is_running(from) ||
-        sender.links_ == host_links::loses_sent || receiver->links_ == host_links::loses_received) {
+    if (!is_running(to) || !is_running(from) || sender.links_ == host_links::loses_sent ||
+        receiver->links_ == host_links::loses_received) {
         return;
     }
     control::gossip& gossip = receiver->process_->gossip_;
--- a/tests/support/simulated_store.cpp
+++ b/tests/support/simulated_store.cpp
@@ -1,5 +1,6 @@
 #include "support/simulated_store.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -82,10 +83,44 @@
     return json{{"events", events}, {"storeRevision", shown_revision}}.dump();
 }
 
+void simulated_store::transfer(base::duration tick) {
+    const double seconds = std::chrono::duration<double>(tick).count();
+    std::vector<simulated_store_client*> receivers;
+    for (simulated_store_client* client : clients_) {
+        if (client->bytes_left() > 0) {
+            receivers.push_back(client);
+        }
+    }
+    // The slow ones first: what they leave of their share is for the others.
+    std::sort(receivers.begin(), receivers.end(),
+              [](const auto* a, const auto* b) { return a->link_rate() < b->link_rate(); });
+    double budget = link_rate_ * seconds;
+    std::size_t waiting = receivers.size();
+    for (simulated_store_client* client : receivers) {
+        const double share = budget / static_cast<double>(waiting--);
+        const double bytes = std::min({share, client->link_rate() * seconds, client->bytes_left()});
+        client->receive(bytes);
+        budget -= bytes;
+    }
+}
+
+simulated_store_client::simulated_store_client(simulated_store& store, double link_rate)
+    : store_(store), link_rate_(link_rate) {
+    store_.clients_.push_back(this);
+}
+
+simulated_store_client::~simulated_store_client() {
+    std::erase(store_.clients_, this);
+}
+
+void simulated_store_client::receive(double bytes) {
+    call_->bytes_left_ -= bytes;
+}
+
 void simulated_store_client::call(const std::string& path, base::duration timeout,
                                   net::http_fetch::callback on_done) {
     current_calls_ += is_relaxed(path) ? 0 : 1;
-    call_ = {path, now(), timeout, std::move(on_done)};
+    call_ = pending_call{path, now(), timeout, std::move(on_done), std::nullopt, 0};
 }
 
 void simulated_store_client::start_timer(platform::feed_timer timer, base::duration delay,
@@ -124,7 +159,7 @@
 
 // Returns what the call has led to so far, if anything.
 std::optional<base::result<net::fetch_result>> simulated_store_client::outcome_of(
-    const pending_call& call) {
+    pending_call& call) {
     const auto failed = [](const char* problem) -> base::result<net::fetch_result> {
         return base::fail(base::error_kind::network, problem);
     };
@@ -140,19 +175,28 @@
     if (path == store_path::silent || too_early) {
         return std::nullopt;
     }
+    if (!call.body_) {
+        call.body_ = response_body(call);
+        const bool takes_time = call.body_ && store_.has_link_rate();
+        call.bytes_left_ = takes_time ? static_cast<double>(call.body_->size()) : 0;
+    }
+    if (!call.body_ || call.bytes_left_ > 0) {
+        return std::nullopt;
+    }
+    return response(std::move(*call.body_));
+}
+
+// Returns the body of the response, or nothing as long as the store has none.
+std::optional<std::string> simulated_store_client::response_body(const pending_call& call) {
     if (call.path_.find("kv-range") != std::string::npos) {
-        return response(store_.range_body());
+        return store_.range_body();
     }
     if (call.path_.find("kv-watch") == std::string::npos) {
-        return response("{}");
+        return "{}";
     }
+    const base::duration waited = now() - call.started_at_;
     const bool wait_over = waited >= base::milliseconds(query_number(call.path_, "waitMs"));
-    auto body =
-        store_.watch_body(query_number(call.path_, "after"), is_relaxed(call.path_), wait_over);
-    if (!body) {
-        return std::nullopt;
-    }
-    return response(std::move(*body));
+    return store_.watch_body(query_number(call.path_, "after"), is_relaxed(call.path_), wait_over);
 }
 
 }  // namespace dandelionridge::support
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "platform/store_client.h"
@@ -28,6 +29,8 @@
     slow,
 };
 
+class simulated_store_client;
+
 class simulated_store {
 public:
     explicit simulated_store(const base::runtime_clock& clock) : clock_(clock) {}
@@ -41,6 +44,14 @@
     // Makes relaxed reads show the store as it was this long ago.
     void set_relaxed_lag(base::duration lag) { relaxed_lag_ = lag; }
 
+    // Makes responses take time: all that are on their way share the store's link evenly, as far as
+    // the clients' links allow. Without this they arrive at once.
+    void set_link_rate(double bytes_per_second) { link_rate_ = bytes_per_second; }
+    bool has_link_rate() const { return link_rate_ > 0; }
+
+    // Carries what the links take in this time. Called once a tick.
+    void transfer(base::duration tick);
+
     // Makes the path of all clients silent or open again, or fail.
     void set_path_of_all(store_path path) { path_of_all_ = path; }
 
@@ -55,6 +66,8 @@
     std::optional<std::string> watch_body(std::int64_t after, bool relaxed, bool waited) const;
 
 private:
+    friend class simulated_store_client;
+
     struct change {
         std::string key_;
         std::string value_;
@@ -71,12 +84,18 @@
     store_path path_of_all_ = store_path::open;
     std::string range_body_;
     std::int64_t range_body_revision_ = -1;
+    double link_rate_ = 0;
+    std::vector<simulated_store_client*> clients_;
 };
 
 // One process's calls to a simulated store.
 class simulated_store_client final : public platform::store_client {
 public:
-    explicit simulated_store_client(simulated_store& store) : store_(store) {}
+    // `link_rate`: what this client's link carries, in bytes per second.
+    simulated_store_client(simulated_store& store, double link_rate);
+    simulated_store_client(const simulated_store_client&) = delete;
+    simulated_store_client& operator=(const simulated_store_client&) = delete;
+    ~simulated_store_client() override;
 
     void set_path(store_path path) { path_ = path; }
 
@@ -95,12 +114,20 @@
     bool is_started(platform::feed_timer timer) const override;
     void cancel_timer(platform::feed_timer timer) override;
 
+    // Bytes of the response on its way that have not arrived yet.
+    double bytes_left() const { return call_ ? call_->bytes_left_ : 0; }
+    double link_rate() const { return link_rate_; }
+    void receive(double bytes);
+
 private:
     struct pending_call {
         std::string path_;
         base::instant started_at_{};
         base::duration timeout_{};
         net::http_fetch::callback on_done_;
+        // The response on its way, and what of it has not arrived yet.
+        std::optional<std::string> body_;
+        double bytes_left_ = 0;
     };
     struct pending_timer {
         base::instant due_{};
@@ -108,9 +135,11 @@
     };
 
     void step_timers();
-    std::optional<base::result<net::fetch_result>> outcome_of(const pending_call& call);
+    std::optional<base::result<net::fetch_result>> outcome_of(pending_call& call);
+    std::optional<std::string> response_body(const pending_call& call);
 
     simulated_store& store_;
+    double link_rate_ = 0;
     store_path path_ = store_path::open;
     std::optional<pending_call> call_;
     std::array<std::optional<pending_timer>, platform::feed_timer_count> timers_;
