--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := cmake ninja-build g++ pkg-config clang-format clang-tidy \
 	libwebsockets-dev libthrift-dev libboost-dev libpopt-dev libgoogle-glog-dev \
 	libexpected-dev catch2 libinih-dev libxxhash-dev nlohmann-json3-dev libssl-dev \
-	libcurl4-openssl-dev spin gcc
+	libcurl4-openssl-dev zlib1g-dev spin gcc
 SOURCES := $(shell git ls-files --cached --others --exclude-standard -- \
 	'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.cpp' 'bench/*.h' \
 	'tools/*.cpp' 'tools/*.h' 'fuzz/*.cpp' 'platform/*.cpp' 'platform/*.h' ':!src/wire/gen')
--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -86,8 +86,8 @@
         value.rejected_ = rejection{lines.version_, std::move(*parse_error)};
         return offer_outcome::rejected;
     }
-    if (lines.digest_ != value.lines_.digest_) {
-        value.previous_ = std::move(value.lines_);
+    if (value.lines_.version_ > 0 && lines.digest_ != value.lines_.digest_) {
+        config::record_change(value.history_, value.lines_, lines);
     }
     value.lines_ = std::move(lines);
     notify(kind);
@@ -174,11 +174,10 @@
     if (has_lines(known, value.lines_)) {
         return {known.version_, value.lines_.version_, {}, {}, value.lines_.digest_};
     }
-    if (has_lines(known, value.previous_)) {
-        config::line_delta delta = config::make_delta(value.previous_, value.lines_);
-        // Hosts read the same lines at different revisions of the platform.
-        delta.base_ = known.version_;
-        return delta;
+    // Hosts read the same lines at different revisions of the platform, so the digest goes first.
+    if (auto delta =
+            config::delta_since(value.history_, known.version_, known.digest_, value.lines_)) {
+        return *std::move(delta);
     }
     return config::make_delta(config::versioned_lines{}, value.lines_);
 }
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "config/host_list.h"
+#include "config/line_history.h"
 #include "config/rules.h"
 #include "config/versioned_lines.h"
 #include "control/known_targets.h"
@@ -67,9 +68,8 @@
 // State of one of the two values.
 struct config_value_state {
     config::versioned_lines lines_;
-    // The last version with other lines, kept so that peers can be sent a delta instead of all
-    // lines.
-    config::versioned_lines previous_;
+    // What changed in the last versions, so that peers can be sent a delta instead of all lines.
+    config::line_history history_;
     // The last version that was rejected, with the reason; empty if there was none.
     std::optional<rejection> rejected_;
     // Offers ignored because their version was not newer than the one in force.
@@ -103,7 +103,7 @@
 
     // Returns the delta that brings a peer at the known version to the version in force. It is
     // empty if the lines are the same and only their version is another one, and holds all lines,
-    // with base 0, if the peer has neither these lines nor those before them.
+    // with base 0, if the peer's lines are not among the last ones.
     config::line_delta delta_from(config_value_kind kind, const known_lines& known) const;
 
     // Sets the hold. While it is active, the missing targets stay in use on this host if they were
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
 #include <utility>
 
+#include "config/line_history.h"
+#include "control/packed_update.h"
+
 namespace dandelionridge::control {
 
 namespace {
@@ -47,6 +49,7 @@
     frame.__isset.pull_ = true;
     frame.pull_.value = to_wire(kind);
     frame.pull_.have = known.version_;
+    frame.pull_.__set_takes_packed(true);
     if (known.digest_) {
         frame.pull_.__set_digest(static_cast<std::int64_t>(*known.digest_));
     }
@@ -99,12 +102,6 @@
     }
 }
 
-std::size_t total_bytes(const std::vector<std::string>& lines) {
-    return std::accumulate(
-        lines.begin(), lines.end(), std::size_t{0},
-        [](std::size_t sum, const std::string& line) { return sum + line.size(); });
-}
-
 }  // namespace
 
 gossip::gossip(const base::runtime_clock& clock, configuration& configuration, peer_sender& peers,
@@ -498,26 +495,43 @@
     policy::forget_sources_up_to(exchange_of(kind).pull_, configuration_.version(kind));
 }
 
+// Returns the update for a pull. Hosts mostly pull the same, so the last one is kept.
+const gossip::prepared_update& gossip::prepare_update(config_value_kind kind,
+                                                      const wire::config_pull& pull) {
+    prepared_update& prepared = exchange_of(kind).prepared_;
+    if (prepared.pull_ == pull && prepared.frame_.update_.version == configuration_.version(kind)) {
+        return prepared;
+    }
+    prepared.pull_ = pull;
+    prepared.frame_ = make_update(kind, configuration_.delta_from(kind, to_known_lines(pull)));
+    wire::config_update& update = prepared.frame_.update_;
+    prepared.lines_ = update.removed.size() + update.added.size();
+    if (pull.takes_packed) {
+        pack_lines(update);
+    }
+    prepared.bytes_ = update.packed.size() + config::total_bytes(update.removed) +
+                      config::total_bytes(update.added);
+    return prepared;
+}
+
 std::optional<sent_value> gossip::on_pull(const std::string& peer, const wire::config_pull& pull,
                                           const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(pull.value);
-    if (!configuration_.is_shared(kind) || configuration_.version(kind) <= pull.have) {
+    const std::int64_t version = configuration_.version(kind);
+    if (!configuration_.is_shared(kind) || version <= pull.have) {
         send_reply(make_busy(kind, configuration_.shared_version(kind), {}));
         return std::nullopt;
     }
-    config::line_delta delta = configuration_.delta_from(kind, to_known_lines(pull));
-    const sent_value sent{kind, delta.base_, delta.version_,
-                          delta.removed_.size() + delta.added_.size(),
-                          total_bytes(delta.removed_) + total_bytes(delta.added_)};
+    const prepared_update& prepared = prepare_update(kind, pull);
     policy::copy_receivers& receivers = exchange_of(kind).receivers_;
-    if (sent.lines_ > 0 && !policy::claim_copy(copy_budget_, sent.bytes_, clock_.now())) {
-        send_reply(
-            make_busy(kind, delta.version_, policy::receivers_of(receivers, delta.version_)));
+    if (prepared.lines_ > 0 && !policy::claim_copy(copy_budget_, prepared.bytes_, clock_.now())) {
+        send_reply(make_busy(kind, version, policy::receivers_of(receivers, version)));
         return std::nullopt;
     }
-    policy::record_receiver(receivers, delta.version_, peer);
-    send_reply(make_update(kind, std::move(delta)));
-    return sent;
+    policy::record_receiver(receivers, version, peer);
+    send_reply(prepared.frame_);
+    return sent_value{kind, prepared.frame_.update_.base, version, prepared.lines_,
+                      prepared.bytes_};
 }
 
 void gossip::on_busy(const std::string& peer, const wire::config_busy& busy) {
@@ -531,12 +545,16 @@
     policy::forget_sources_up_to(pull, configuration_.version(kind));
 }
 
-offer_outcome gossip::on_update(const std::string& peer, const wire::config_update& update,
+offer_outcome gossip::on_update(const std::string& peer, wire::config_update update,
                                 const frame_sender& send_reply) {
     const config_value_kind kind = to_kind(update.value);
-    const config::line_delta delta{update.base, update.version, update.removed, update.added,
+    const bool readable = unpack_lines(update).has_value();
+    const config::line_delta delta{update.base, update.version, std::move(update.removed),
+                                   std::move(update.added),
                                    static_cast<std::uint64_t>(update.digest)};
-    const offer_outcome outcome = configuration_.offer_delta(kind, delta);
+    // Without its lines, a delta does not match its digest.
+    const offer_outcome outcome =
+        readable ? configuration_.offer_delta(kind, delta) : offer_outcome::delta_mismatch;
     policy::config_pull& pull = exchange_of(kind).pull_;
     policy::record_reply(pull, peer);
     if (outcome == offer_outcome::rejected) {
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -52,7 +52,7 @@
     // The version that the change starts from; 0 if all lines were sent.
     std::int64_t base_ = 0;
     std::int64_t version_ = 0;
-    // Number of lines sent, and of the bytes in them.
+    // Number of lines sent, and of the bytes in them as they were sent.
     std::size_t lines_ = 0;
     std::size_t bytes_ = 0;
 };
@@ -77,7 +77,7 @@
     std::optional<sent_value> on_pull(const std::string& peer, const wire::config_pull& pull,
                                       const frame_sender& send_reply);
     void on_busy(const std::string& peer, const wire::config_busy& busy);
-    offer_outcome on_update(const std::string& peer, const wire::config_update& update,
+    offer_outcome on_update(const std::string& peer, wire::config_update update,
                             const frame_sender& send_reply);
 
     // Records the versions that a peer sent with any message, and pulls those that are newer than
@@ -127,10 +127,19 @@
         base::instant requested_at_{};
     };
 
+    // The update for a pull, and its size.
+    struct prepared_update {
+        wire::config_pull pull_;
+        wire::frame frame_;
+        std::size_t lines_ = 0;
+        std::size_t bytes_ = 0;
+    };
+
     // What is pulled and sent of one value.
     struct value_exchange {
         policy::config_pull pull_;
         policy::copy_receivers receivers_;
+        prepared_update prepared_;
     };
 
     void request_view(const std::string& peer);
@@ -155,6 +164,7 @@
                         const frame_sender& send_reply);
     void pull_from_known_source(config_value_kind kind);
     std::vector<std::string> eligible_sources(const policy::config_pull& pull) const;
+    const prepared_update& prepare_update(config_value_kind kind, const wire::config_pull& pull);
     known_lines lines_in_force(config_value_kind kind) const;
     value_exchange& exchange_of(config_value_kind kind) {
         return kind == config_value_kind::rules ? rules_exchange_ : hosts_exchange_;
--- a/src/wire/fleet.thrift
+++ b/src/wire/fleet.thrift
@@ -247,6 +247,14 @@
     2: i64 have
     // Digest of all lines of version `have`, as in config_update.
     3: optional i64 digest
+    // The sender takes updates with packed lines.
+    4: optional bool takes_packed
+}
+
+// The lines of an update.
+struct changed_lines {
+    1: list<string> removed
+    2: list<string> added
 }
 
 // Changes a configuration value from version `base` to version `version`. Version 0 is empty.
@@ -259,6 +267,10 @@
     5: list<string> added
     // Digest of all lines of the new version, independent of their order.
     6: i64 digest
+    // In place of the lines: changed_lines in the compact protocol, compressed by zlib (RFC 1950),
+    // and its size in bytes before that.
+    7: optional binary packed
+    8: optional i32 unpacked_bytes
 }
 
 // Reply to config_pull: the sender has sent so much of late that it sends no copy at present.
--- a/src/wire/gen/fleet_types.cpp
+++ b/src/wire/gen/fleet_types.cpp
@@ -3842,6 +3842,11 @@
   this->digest = val;
 __isset.digest = true;
 }
+
+void config_pull::__set_takes_packed(const bool val) {
+  this->takes_packed = val;
+__isset.takes_packed = true;
+}
 std::ostream& operator<<(std::ostream& out, const config_pull& obj)
 {
   obj.printTo(out);
@@ -3896,6 +3901,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->takes_packed);
+          this->__isset.takes_packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3926,6 +3939,11 @@
     xfer += oprot->writeI64(this->digest);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.takes_packed) {
+    xfer += oprot->writeFieldBegin("takes_packed", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->takes_packed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3936,6 +3954,7 @@
   swap(a.value, b.value);
   swap(a.have, b.have);
   swap(a.digest, b.digest);
+  swap(a.takes_packed, b.takes_packed);
   swap(a.__isset, b.__isset);
 }
 
@@ -3943,18 +3962,21 @@
   value = other110.value;
   have = other110.have;
   digest = other110.digest;
+  takes_packed = other110.takes_packed;
   __isset = other110.__isset;
 }
 config_pull::config_pull(config_pull&& other111) noexcept {
   value = other111.value;
   have = other111.have;
   digest = other111.digest;
+  takes_packed = other111.takes_packed;
   __isset = other111.__isset;
 }
 config_pull& config_pull::operator=(const config_pull& other112) noexcept {
   value = other112.value;
   have = other112.have;
   digest = other112.digest;
+  takes_packed = other112.takes_packed;
   __isset = other112.__isset;
   return *this;
 }
@@ -3962,6 +3984,7 @@
   value = other113.value;
   have = other113.have;
   digest = other113.digest;
+  takes_packed = other113.takes_packed;
   __isset = other113.__isset;
   return *this;
 }
@@ -3971,6 +3994,170 @@
   out << "value=" << to_string(value);
   out << ", " << "have=" << to_string(have);
   out << ", " << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
+  out << ", " << "takes_packed="; (__isset.takes_packed ? (out << to_string(takes_packed)) : (out << "<null>"));
+  out << ")";
+}
+
+
+changed_lines::~changed_lines() noexcept {
+}
+
+
+void changed_lines::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
+}
+
+void changed_lines::__set_added(const std::vector<std::string> & val) {
+  this->added = val;
+}
+std::ostream& operator<<(std::ostream& out, const changed_lines& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t changed_lines::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->removed.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
+            {
+              xfer += iprot->readString(this->removed[_i118]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->added.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->added.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += iprot->readString(this->added[_i123]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.added = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t changed_lines::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("changed_lines");
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter124;
+    for (_iter124 = this->removed.begin(); _iter124 != this->removed.end(); ++_iter124)
+    {
+      xfer += oprot->writeString((*_iter124));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->added.size()));
+    std::vector<std::string> ::const_iterator _iter125;
+    for (_iter125 = this->added.begin(); _iter125 != this->added.end(); ++_iter125)
+    {
+      xfer += oprot->writeString((*_iter125));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(changed_lines &a, changed_lines &b) {
+  using ::std::swap;
+  swap(a.removed, b.removed);
+  swap(a.added, b.added);
+  swap(a.__isset, b.__isset);
+}
+
+changed_lines::changed_lines(const changed_lines& other126) {
+  removed = other126.removed;
+  added = other126.added;
+  __isset = other126.__isset;
+}
+changed_lines::changed_lines(changed_lines&& other127) noexcept {
+  removed = std::move(other127.removed);
+  added = std::move(other127.added);
+  __isset = other127.__isset;
+}
+changed_lines& changed_lines::operator=(const changed_lines& other128) {
+  removed = other128.removed;
+  added = other128.added;
+  __isset = other128.__isset;
+  return *this;
+}
+changed_lines& changed_lines::operator=(changed_lines&& other129) noexcept {
+  removed = std::move(other129.removed);
+  added = std::move(other129.added);
+  __isset = other129.__isset;
+  return *this;
+}
+void changed_lines::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "changed_lines(";
+  out << "removed=" << to_string(removed);
+  out << ", " << "added=" << to_string(added);
   out << ")";
 }
 
@@ -4002,6 +4189,16 @@
 void config_update::__set_digest(const int64_t val) {
   this->digest = val;
 }
+
+void config_update::__set_packed(const std::string& val) {
+  this->packed = val;
+__isset.packed = true;
+}
+
+void config_update::__set_unpacked_bytes(const int32_t val) {
+  this->unpacked_bytes = val;
+__isset.unpacked_bytes = true;
+}
 std::ostream& operator<<(std::ostream& out, const config_update& obj)
 {
   obj.printTo(out);
@@ -4032,9 +4229,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast114;
-          xfer += iprot->readI32(ecast114);
-          this->value = static_cast<config_value>(ecast114);
+          int32_t ecast130;
+          xfer += iprot->readI32(ecast130);
+          this->value = static_cast<config_value>(ecast130);
           this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4060,14 +4257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->removed.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->removed.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              xfer += iprot->readString(this->removed[_i119]);
+              xfer += iprot->readString(this->removed[_i135]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4080,14 +4277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->added.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->added.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->added.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += iprot->readString(this->added[_i124]);
+              xfer += iprot->readString(this->added[_i140]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4104,6 +4301,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->packed);
+          this->__isset.packed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unpacked_bytes);
+          this->__isset.unpacked_bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4136,10 +4349,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter125;
-    for (_iter125 = this->removed.begin(); _iter125 != this->removed.end(); ++_iter125)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->removed.begin(); _iter141 != this->removed.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter125));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4148,10 +4361,10 @@
   xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->added.size()));
-    std::vector<std::string> ::const_iterator _iter126;
-    for (_iter126 = this->added.begin(); _iter126 != this->added.end(); ++_iter126)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->added.begin(); _iter142 != this->added.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter126));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4161,6 +4374,16 @@
   xfer += oprot->writeI64(this->digest);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.packed) {
+    xfer += oprot->writeFieldBegin("packed", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeBinary(this->packed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.unpacked_bytes) {
+    xfer += oprot->writeFieldBegin("unpacked_bytes", ::apache::thrift::protocol::T_I32, 8);
+    xfer += oprot->writeI32(this->unpacked_bytes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4174,45 +4397,55 @@
   swap(a.removed, b.removed);
   swap(a.added, b.added);
   swap(a.digest, b.digest);
+  swap(a.packed, b.packed);
+  swap(a.unpacked_bytes, b.unpacked_bytes);
   swap(a.__isset, b.__isset);
 }
 
-config_update::config_update(const config_update& other127) {
-  value = other127.value;
-  base = other127.base;
-  version = other127.version;
-  removed = other127.removed;
-  added = other127.added;
-  digest = other127.digest;
-  __isset = other127.__isset;
+config_update::config_update(const config_update& other143) {
+  value = other143.value;
+  base = other143.base;
+  version = other143.version;
+  removed = other143.removed;
+  added = other143.added;
+  digest = other143.digest;
+  packed = other143.packed;
+  unpacked_bytes = other143.unpacked_bytes;
+  __isset = other143.__isset;
 }
-config_update::config_update(config_update&& other128) noexcept {
-  value = other128.value;
-  base = other128.base;
-  version = other128.version;
-  removed = std::move(other128.removed);
-  added = std::move(other128.added);
-  digest = other128.digest;
-  __isset = other128.__isset;
+config_update::config_update(config_update&& other144) noexcept {
+  value = other144.value;
+  base = other144.base;
+  version = other144.version;
+  removed = std::move(other144.removed);
+  added = std::move(other144.added);
+  digest = other144.digest;
+  packed = std::move(other144.packed);
+  unpacked_bytes = other144.unpacked_bytes;
+  __isset = other144.__isset;
 }
-config_update& config_update::operator=(const config_update& other129) {
-  value = other129.value;
-  base = other129.base;
-  version = other129.version;
-  removed = other129.removed;
-  added = other129.added;
-  digest = other129.digest;
-  __isset = other129.__isset;
+config_update& config_update::operator=(const config_update& other145) {
+  value = other145.value;
+  base = other145.base;
+  version = other145.version;
+  removed = other145.removed;
+  added = other145.added;
+  digest = other145.digest;
+  packed = other145.packed;
+  unpacked_bytes = other145.unpacked_bytes;
+  __isset = other145.__isset;
   return *this;
 }
-config_update& config_update::operator=(config_update&& other130) noexcept {
-  value = other130.value;
-  base = other130.base;
-  version = other130.version;
-  removed = std::move(other130.removed);
-  added = std::move(other130.added);
-  digest = other130.digest;
-  __isset = other130.__isset;
+config_update& config_update::operator=(config_update&& other146) noexcept {
+  value = other146.value;
+  base = other146.base;
+  version = other146.version;
+  removed = std::move(other146.removed);
+  added = std::move(other146.added);
+  digest = other146.digest;
+  packed = std::move(other146.packed);
+  unpacked_bytes = other146.unpacked_bytes;
+  __isset = other146.__isset;
   return *this;
 }
 void config_update::printTo(std::ostream& out) const {
@@ -4224,6 +4457,8 @@
   out << ", " << "removed=" << to_string(removed);
   out << ", " << "added=" << to_string(added);
   out << ", " << "digest=" << to_string(digest);
+  out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
+  out << ", " << "unpacked_bytes="; (__isset.unpacked_bytes ? (out << to_string(unpacked_bytes)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4273,9 +4508,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast131;
-          xfer += iprot->readI32(ecast131);
-          this->value = static_cast<config_value>(ecast131);
+          int32_t ecast147;
+          xfer += iprot->readI32(ecast147);
+          this->value = static_cast<config_value>(ecast147);
           this->__isset.value = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4293,14 +4528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->hosts.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->hosts.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              xfer += iprot->readString(this->hosts[_i136]);
+              xfer += iprot->readString(this->hosts[_i152]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4337,10 +4572,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter137;
-    for (_iter137 = this->hosts.begin(); _iter137 != this->hosts.end(); ++_iter137)
+    std::vector<std::string> ::const_iterator _iter153;
+    for (_iter153 = this->hosts.begin(); _iter153 != this->hosts.end(); ++_iter153)
     {
-      xfer += oprot->writeString((*_iter137));
+      xfer += oprot->writeString((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4359,30 +4594,30 @@
   swap(a.__isset, b.__isset);
 }
 
-config_busy::config_busy(const config_busy& other138) {
-  value = other138.value;
-  version = other138.version;
-  hosts = other138.hosts;
-  __isset = other138.__isset;
+config_busy::config_busy(const config_busy& other154) {
+  value = other154.value;
+  version = other154.version;
+  hosts = other154.hosts;
+  __isset = other154.__isset;
 }
-config_busy::config_busy(config_busy&& other139) noexcept {
-  value = other139.value;
-  version = other139.version;
-  hosts = std::move(other139.hosts);
-  __isset = other139.__isset;
+config_busy::config_busy(config_busy&& other155) noexcept {
+  value = other155.value;
+  version = other155.version;
+  hosts = std::move(other155.hosts);
+  __isset = other155.__isset;
 }
-config_busy& config_busy::operator=(const config_busy& other140) {
-  value = other140.value;
-  version = other140.version;
-  hosts = other140.hosts;
-  __isset = other140.__isset;
+config_busy& config_busy::operator=(const config_busy& other156) {
+  value = other156.value;
+  version = other156.version;
+  hosts = other156.hosts;
+  __isset = other156.__isset;
   return *this;
 }
-config_busy& config_busy::operator=(config_busy&& other141) noexcept {
-  value = other141.value;
-  version = other141.version;
-  hosts = std::move(other141.hosts);
-  __isset = other141.__isset;
+config_busy& config_busy::operator=(config_busy&& other157) noexcept {
+  value = other157.value;
+  version = other157.version;
+  hosts = std::move(other157.hosts);
+  __isset = other157.__isset;
   return *this;
 }
 void config_busy::printTo(std::ostream& out) const {
@@ -4487,26 +4722,26 @@
   swap(a.__isset, b.__isset);
 }
 
-view_question::view_question(const view_question& other142) noexcept {
-  nonce = other142.nonce;
-  versions = other142.versions;
-  __isset = other142.__isset;
+view_question::view_question(const view_question& other158) noexcept {
+  nonce = other158.nonce;
+  versions = other158.versions;
+  __isset = other158.__isset;
 }
-view_question::view_question(view_question&& other143) noexcept {
-  nonce = other143.nonce;
-  versions = std::move(other143.versions);
-  __isset = other143.__isset;
+view_question::view_question(view_question&& other159) noexcept {
+  nonce = other159.nonce;
+  versions = std::move(other159.versions);
+  __isset = other159.__isset;
 }
-view_question& view_question::operator=(const view_question& other144) noexcept {
-  nonce = other144.nonce;
-  versions = other144.versions;
-  __isset = other144.__isset;
+view_question& view_question::operator=(const view_question& other160) noexcept {
+  nonce = other160.nonce;
+  versions = other160.versions;
+  __isset = other160.__isset;
   return *this;
 }
-view_question& view_question::operator=(view_question&& other145) noexcept {
-  nonce = other145.nonce;
-  versions = std::move(other145.versions);
-  __isset = other145.__isset;
+view_question& view_question::operator=(view_question&& other161) noexcept {
+  nonce = other161.nonce;
+  versions = std::move(other161.versions);
+  __isset = other161.__isset;
   return *this;
 }
 void view_question::printTo(std::ostream& out) const {
@@ -4648,34 +4883,34 @@
   swap(a.__isset, b.__isset);
 }
 
-view_answer::view_answer(const view_answer& other146) noexcept {
-  nonce = other146.nonce;
-  versions = other146.versions;
-  rules_age_ms = other146.rules_age_ms;
-  hosts_age_ms = other146.hosts_age_ms;
-  __isset = other146.__isset;
+view_answer::view_answer(const view_answer& other162) noexcept {
+  nonce = other162.nonce;
+  versions = other162.versions;
+  rules_age_ms = other162.rules_age_ms;
+  hosts_age_ms = other162.hosts_age_ms;
+  __isset = other162.__isset;
+}
+view_answer::view_answer(view_answer&& other163) noexcept {
+  nonce = other163.nonce;
+  versions = std::move(other163.versions);
+  rules_age_ms = other163.rules_age_ms;
+  hosts_age_ms = other163.hosts_age_ms;
+  __isset = other163.__isset;
 }
-view_answer::view_answer(view_answer&& other147) noexcept {
-  nonce = other147.nonce;
-  versions = std::move(other147.versions);
-  rules_age_ms = other147.rules_age_ms;
-  hosts_age_ms = other147.hosts_age_ms;
-  __isset = other147.__isset;
-}
-view_answer& view_answer::operator=(const view_answer& other148) noexcept {
-  nonce = other148.nonce;
-  versions = other148.versions;
-  rules_age_ms = other148.rules_age_ms;
-  hosts_age_ms = other148.hosts_age_ms;
-  __isset = other148.__isset;
+view_answer& view_answer::operator=(const view_answer& other164) noexcept {
+  nonce = other164.nonce;
+  versions = other164.versions;
+  rules_age_ms = other164.rules_age_ms;
+  hosts_age_ms = other164.hosts_age_ms;
+  __isset = other164.__isset;
   return *this;
 }
-view_answer& view_answer::operator=(view_answer&& other149) noexcept {
-  nonce = other149.nonce;
-  versions = std::move(other149.versions);
-  rules_age_ms = other149.rules_age_ms;
-  hosts_age_ms = other149.hosts_age_ms;
-  __isset = other149.__isset;
+view_answer& view_answer::operator=(view_answer&& other165) noexcept {
+  nonce = other165.nonce;
+  versions = std::move(other165.versions);
+  rules_age_ms = other165.rules_age_ms;
+  hosts_age_ms = other165.hosts_age_ms;
+  __isset = other165.__isset;
   return *this;
 }
 void view_answer::printTo(std::ostream& out) const {
@@ -4855,42 +5090,42 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_request::lease_request(const lease_request& other150) {
-  request = other150.request;
-  organisation = other150.organisation;
-  tokens = other150.tokens;
-  relayed = other150.relayed;
-  owner_silent = other150.owner_silent;
-  asks_support = other150.asks_support;
-  __isset = other150.__isset;
-}
-lease_request::lease_request(lease_request&& other151) noexcept {
-  request = other151.request;
-  organisation = std::move(other151.organisation);
-  tokens = other151.tokens;
-  relayed = other151.relayed;
-  owner_silent = other151.owner_silent;
-  asks_support = other151.asks_support;
-  __isset = other151.__isset;
-}
-lease_request& lease_request::operator=(const lease_request& other152) {
-  request = other152.request;
-  organisation = other152.organisation;
-  tokens = other152.tokens;
-  relayed = other152.relayed;
-  owner_silent = other152.owner_silent;
-  asks_support = other152.asks_support;
-  __isset = other152.__isset;
+lease_request::lease_request(const lease_request& other166) {
+  request = other166.request;
+  organisation = other166.organisation;
+  tokens = other166.tokens;
+  relayed = other166.relayed;
+  owner_silent = other166.owner_silent;
+  asks_support = other166.asks_support;
+  __isset = other166.__isset;
+}
+lease_request::lease_request(lease_request&& other167) noexcept {
+  request = other167.request;
+  organisation = std::move(other167.organisation);
+  tokens = other167.tokens;
+  relayed = other167.relayed;
+  owner_silent = other167.owner_silent;
+  asks_support = other167.asks_support;
+  __isset = other167.__isset;
+}
+lease_request& lease_request::operator=(const lease_request& other168) {
+  request = other168.request;
+  organisation = other168.organisation;
+  tokens = other168.tokens;
+  relayed = other168.relayed;
+  owner_silent = other168.owner_silent;
+  asks_support = other168.asks_support;
+  __isset = other168.__isset;
   return *this;
 }
-lease_request& lease_request::operator=(lease_request&& other153) noexcept {
-  request = other153.request;
-  organisation = std::move(other153.organisation);
-  tokens = other153.tokens;
-  relayed = other153.relayed;
-  owner_silent = other153.owner_silent;
-  asks_support = other153.asks_support;
-  __isset = other153.__isset;
+lease_request& lease_request::operator=(lease_request&& other169) noexcept {
+  request = other169.request;
+  organisation = std::move(other169.organisation);
+  tokens = other169.tokens;
+  relayed = other169.relayed;
+  owner_silent = other169.owner_silent;
+  asks_support = other169.asks_support;
+  __isset = other169.__isset;
   return *this;
 }
 void lease_request::printTo(std::ostream& out) const {
@@ -5087,46 +5322,46 @@
   swap(a.__isset, b.__isset);
 }
 
-lease_grant::lease_grant(const lease_grant& other154) {
-  request = other154.request;
-  organisation = other154.organisation;
-  tokens = other154.tokens;
-  retry_after_ms = other154.retry_after_ms;
-  granting = other154.granting;
-  taking_over = other154.taking_over;
-  supports = other154.supports;
-  __isset = other154.__isset;
-}
-lease_grant::lease_grant(lease_grant&& other155) noexcept {
-  request = other155.request;
-  organisation = std::move(other155.organisation);
-  tokens = other155.tokens;
-  retry_after_ms = other155.retry_after_ms;
-  granting = other155.granting;
-  taking_over = other155.taking_over;
-  supports = other155.supports;
-  __isset = other155.__isset;
+lease_grant::lease_grant(const lease_grant& other170) {
+  request = other170.request;
+  organisation = other170.organisation;
+  tokens = other170.tokens;
+  retry_after_ms = other170.retry_after_ms;
+  granting = other170.granting;
+  taking_over = other170.taking_over;
+  supports = other170.supports;
+  __isset = other170.__isset;
 }
-lease_grant& lease_grant::operator=(const lease_grant& other156) {
-  request = other156.request;
-  organisation = other156.organisation;
-  tokens = other156.tokens;
-  retry_after_ms = other156.retry_after_ms;
-  granting = other156.granting;
-  taking_over = other156.taking_over;
-  supports = other156.supports;
-  __isset = other156.__isset;
+lease_grant::lease_grant(lease_grant&& other171) noexcept {
+  request = other171.request;
+  organisation = std::move(other171.organisation);
+  tokens = other171.tokens;
+  retry_after_ms = other171.retry_after_ms;
+  granting = other171.granting;
+  taking_over = other171.taking_over;
+  supports = other171.supports;
+  __isset = other171.__isset;
+}
+lease_grant& lease_grant::operator=(const lease_grant& other172) {
+  request = other172.request;
+  organisation = other172.organisation;
+  tokens = other172.tokens;
+  retry_after_ms = other172.retry_after_ms;
+  granting = other172.granting;
+  taking_over = other172.taking_over;
+  supports = other172.supports;
+  __isset = other172.__isset;
   return *this;
 }
-lease_grant& lease_grant::operator=(lease_grant&& other157) noexcept {
-  request = other157.request;
-  organisation = std::move(other157.organisation);
-  tokens = other157.tokens;
-  retry_after_ms = other157.retry_after_ms;
-  granting = other157.granting;
-  taking_over = other157.taking_over;
-  supports = other157.supports;
-  __isset = other157.__isset;
+lease_grant& lease_grant::operator=(lease_grant&& other173) noexcept {
+  request = other173.request;
+  organisation = std::move(other173.organisation);
+  tokens = other173.tokens;
+  retry_after_ms = other173.retry_after_ms;
+  granting = other173.granting;
+  taking_over = other173.taking_over;
+  supports = other173.supports;
+  __isset = other173.__isset;
   return *this;
 }
 void lease_grant::printTo(std::ostream& out) const {
@@ -5235,26 +5470,26 @@
   swap(a.__isset, b.__isset);
 }
 
-retry_loan_request::retry_loan_request(const retry_loan_request& other158) {
-  request = other158.request;
-  service_name = other158.service_name;
-  __isset = other158.__isset;
+retry_loan_request::retry_loan_request(const retry_loan_request& other174) {
+  request = other174.request;
+  service_name = other174.service_name;
+  __isset = other174.__isset;
 }
-retry_loan_request::retry_loan_request(retry_loan_request&& other159) noexcept {
-  request = other159.request;
-  service_name = std::move(other159.service_name);
-  __isset = other159.__isset;
+retry_loan_request::retry_loan_request(retry_loan_request&& other175) noexcept {
+  request = other175.request;
+  service_name = std::move(other175.service_name);
+  __isset = other175.__isset;
 }
-retry_loan_request& retry_loan_request::operator=(const retry_loan_request& other160) {
-  request = other160.request;
-  service_name = other160.service_name;
-  __isset = other160.__isset;
+retry_loan_request& retry_loan_request::operator=(const retry_loan_request& other176) {
+  request = other176.request;
+  service_name = other176.service_name;
+  __isset = other176.__isset;
   return *this;
 }
-retry_loan_request& retry_loan_request::operator=(retry_loan_request&& other161) noexcept {
-  request = other161.request;
-  service_name = std::move(other161.service_name);
-  __isset = other161.__isset;
+retry_loan_request& retry_loan_request::operator=(retry_loan_request&& other177) noexcept {
+  request = other177.request;
+  service_name = std::move(other177.service_name);
+  __isset = other177.__isset;
   return *this;
 }
 void retry_loan_request::printTo(std::ostream& out) const {
@@ -5358,26 +5593,26 @@
   swap(a.__isset, b.__isset);
 }
 
-retry_loan::retry_loan(const retry_loan& other162) noexcept {
-  request = other162.request;
-  granted = other162.granted;
-  __isset = other162.__isset;
+retry_loan::retry_loan(const retry_loan& other178) noexcept {
+  request = other178.request;
+  granted = other178.granted;
+  __isset = other178.__isset;
 }
-retry_loan::retry_loan(retry_loan&& other163) noexcept {
-  request = other163.request;
-  granted = other163.granted;
-  __isset = other163.__isset;
+retry_loan::retry_loan(retry_loan&& other179) noexcept {
+  request = other179.request;
+  granted = other179.granted;
+  __isset = other179.__isset;
 }
-retry_loan& retry_loan::operator=(const retry_loan& other164) noexcept {
-  request = other164.request;
-  granted = other164.granted;
-  __isset = other164.__isset;
+retry_loan& retry_loan::operator=(const retry_loan& other180) noexcept {
+  request = other180.request;
+  granted = other180.granted;
+  __isset = other180.__isset;
   return *this;
 }
-retry_loan& retry_loan::operator=(retry_loan&& other165) noexcept {
-  request = other165.request;
-  granted = other165.granted;
-  __isset = other165.__isset;
+retry_loan& retry_loan::operator=(retry_loan&& other181) noexcept {
+  request = other181.request;
+  granted = other181.granted;
+  __isset = other181.__isset;
   return *this;
 }
 void retry_loan::printTo(std::ostream& out) const {
@@ -5459,9 +5694,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast166;
-          xfer += iprot->readI32(ecast166);
-          this->state = static_cast<host_state>(ecast166);
+          int32_t ecast182;
+          xfer += iprot->readI32(ecast182);
+          this->state = static_cast<host_state>(ecast182);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5536,38 +5771,38 @@
   swap(a.__isset, b.__isset);
 }
 
-host_notice::host_notice(const host_notice& other167) {
-  host = other167.host;
-  boot_tag = other167.boot_tag;
-  state = other167.state;
-  age_ms = other167.age_ms;
-  reporter = other167.reporter;
-  __isset = other167.__isset;
+host_notice::host_notice(const host_notice& other183) {
+  host = other183.host;
+  boot_tag = other183.boot_tag;
+  state = other183.state;
+  age_ms = other183.age_ms;
+  reporter = other183.reporter;
+  __isset = other183.__isset;
 }
-host_notice::host_notice(host_notice&& other168) noexcept {
-  host = std::move(other168.host);
-  boot_tag = other168.boot_tag;
-  state = other168.state;
-  age_ms = other168.age_ms;
-  reporter = std::move(other168.reporter);
-  __isset = other168.__isset;
+host_notice::host_notice(host_notice&& other184) noexcept {
+  host = std::move(other184.host);
+  boot_tag = other184.boot_tag;
+  state = other184.state;
+  age_ms = other184.age_ms;
+  reporter = std::move(other184.reporter);
+  __isset = other184.__isset;
 }
-host_notice& host_notice::operator=(const host_notice& other169) {
-  host = other169.host;
-  boot_tag = other169.boot_tag;
-  state = other169.state;
-  age_ms = other169.age_ms;
-  reporter = other169.reporter;
-  __isset = other169.__isset;
+host_notice& host_notice::operator=(const host_notice& other185) {
+  host = other185.host;
+  boot_tag = other185.boot_tag;
+  state = other185.state;
+  age_ms = other185.age_ms;
+  reporter = other185.reporter;
+  __isset = other185.__isset;
   return *this;
 }
-host_notice& host_notice::operator=(host_notice&& other170) noexcept {
-  host = std::move(other170.host);
-  boot_tag = other170.boot_tag;
-  state = other170.state;
-  age_ms = other170.age_ms;
-  reporter = std::move(other170.reporter);
-  __isset = other170.__isset;
+host_notice& host_notice::operator=(host_notice&& other186) noexcept {
+  host = std::move(other186.host);
+  boot_tag = other186.boot_tag;
+  state = other186.state;
+  age_ms = other186.age_ms;
+  reporter = std::move(other186.reporter);
+  __isset = other186.__isset;
   return *this;
 }
 void host_notice::printTo(std::ostream& out) const {
@@ -5621,14 +5856,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->hosts.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->hosts.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += this->hosts[_i175].read(iprot);
+              xfer += this->hosts[_i191].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5657,10 +5892,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<host_notice> ::const_iterator _iter176;
-    for (_iter176 = this->hosts.begin(); _iter176 != this->hosts.end(); ++_iter176)
+    std::vector<host_notice> ::const_iterator _iter192;
+    for (_iter192 = this->hosts.begin(); _iter192 != this->hosts.end(); ++_iter192)
     {
-      xfer += (*_iter176).write(oprot);
+      xfer += (*_iter192).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5677,22 +5912,22 @@
   swap(a.__isset, b.__isset);
 }
 
-membership_notice::membership_notice(const membership_notice& other177) {
-  hosts = other177.hosts;
-  __isset = other177.__isset;
+membership_notice::membership_notice(const membership_notice& other193) {
+  hosts = other193.hosts;
+  __isset = other193.__isset;
 }
-membership_notice::membership_notice(membership_notice&& other178) noexcept {
-  hosts = std::move(other178.hosts);
-  __isset = other178.__isset;
+membership_notice::membership_notice(membership_notice&& other194) noexcept {
+  hosts = std::move(other194.hosts);
+  __isset = other194.__isset;
 }
-membership_notice& membership_notice::operator=(const membership_notice& other179) {
-  hosts = other179.hosts;
-  __isset = other179.__isset;
+membership_notice& membership_notice::operator=(const membership_notice& other195) {
+  hosts = other195.hosts;
+  __isset = other195.__isset;
   return *this;
 }
-membership_notice& membership_notice::operator=(membership_notice&& other180) noexcept {
-  hosts = std::move(other180.hosts);
-  __isset = other180.__isset;
+membership_notice& membership_notice::operator=(membership_notice&& other196) noexcept {
+  hosts = std::move(other196.hosts);
+  __isset = other196.__isset;
   return *this;
 }
 void membership_notice::printTo(std::ostream& out) const {
@@ -6236,118 +6471,118 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other181) {
-  hello_ = other181.hello_;
-  welcome_ = other181.welcome_;
-  begin_ = other181.begin_;
-  body_ = other181.body_;
-  credit_ = other181.credit_;
-  cancel_ = other181.cancel_;
-  head_ = other181.head_;
-  refused_ = other181.refused_;
-  failed_ = other181.failed_;
-  resolve_ = other181.resolve_;
-  resolution_ = other181.resolution_;
-  ping_ = other181.ping_;
-  pong_ = other181.pong_;
-  drain_ = other181.drain_;
-  pull_ = other181.pull_;
-  update_ = other181.update_;
-  lease_request_ = other181.lease_request_;
-  lease_grant_ = other181.lease_grant_;
-  report_ = other181.report_;
-  view_question_ = other181.view_question_;
-  view_answer_ = other181.view_answer_;
-  busy_ = other181.busy_;
-  membership_ = other181.membership_;
-  retry_loan_request_ = other181.retry_loan_request_;
-  retry_loan_ = other181.retry_loan_;
-  __isset = other181.__isset;
-}
-frame::frame(frame&& other182) noexcept {
-  hello_ = std::move(other182.hello_);
-  welcome_ = std::move(other182.welcome_);
-  begin_ = std::move(other182.begin_);
-  body_ = std::move(other182.body_);
-  credit_ = std::move(other182.credit_);
-  cancel_ = std::move(other182.cancel_);
-  head_ = std::move(other182.head_);
-  refused_ = std::move(other182.refused_);
-  failed_ = std::move(other182.failed_);
-  resolve_ = std::move(other182.resolve_);
-  resolution_ = std::move(other182.resolution_);
-  ping_ = std::move(other182.ping_);
-  pong_ = std::move(other182.pong_);
-  drain_ = std::move(other182.drain_);
-  pull_ = std::move(other182.pull_);
-  update_ = std::move(other182.update_);
-  lease_request_ = std::move(other182.lease_request_);
-  lease_grant_ = std::move(other182.lease_grant_);
-  report_ = std::move(other182.report_);
-  view_question_ = std::move(other182.view_question_);
-  view_answer_ = std::move(other182.view_answer_);
-  busy_ = std::move(other182.busy_);
-  membership_ = std::move(other182.membership_);
-  retry_loan_request_ = std::move(other182.retry_loan_request_);
-  retry_loan_ = std::move(other182.retry_loan_);
-  __isset = other182.__isset;
-}
-frame& frame::operator=(const frame& other183) {
-  hello_ = other183.hello_;
-  welcome_ = other183.welcome_;
-  begin_ = other183.begin_;
-  body_ = other183.body_;
-  credit_ = other183.credit_;
-  cancel_ = other183.cancel_;
-  head_ = other183.head_;
-  refused_ = other183.refused_;
-  failed_ = other183.failed_;
-  resolve_ = other183.resolve_;
-  resolution_ = other183.resolution_;
-  ping_ = other183.ping_;
-  pong_ = other183.pong_;
-  drain_ = other183.drain_;
-  pull_ = other183.pull_;
-  update_ = other183.update_;
-  lease_request_ = other183.lease_request_;
-  lease_grant_ = other183.lease_grant_;
-  report_ = other183.report_;
-  view_question_ = other183.view_question_;
-  view_answer_ = other183.view_answer_;
-  busy_ = other183.busy_;
-  membership_ = other183.membership_;
-  retry_loan_request_ = other183.retry_loan_request_;
-  retry_loan_ = other183.retry_loan_;
-  __isset = other183.__isset;
+frame::frame(const frame& other197) {
+  hello_ = other197.hello_;
+  welcome_ = other197.welcome_;
+  begin_ = other197.begin_;
+  body_ = other197.body_;
+  credit_ = other197.credit_;
+  cancel_ = other197.cancel_;
+  head_ = other197.head_;
+  refused_ = other197.refused_;
+  failed_ = other197.failed_;
+  resolve_ = other197.resolve_;
+  resolution_ = other197.resolution_;
+  ping_ = other197.ping_;
+  pong_ = other197.pong_;
+  drain_ = other197.drain_;
+  pull_ = other197.pull_;
+  update_ = other197.update_;
+  lease_request_ = other197.lease_request_;
+  lease_grant_ = other197.lease_grant_;
+  report_ = other197.report_;
+  view_question_ = other197.view_question_;
+  view_answer_ = other197.view_answer_;
+  busy_ = other197.busy_;
+  membership_ = other197.membership_;
+  retry_loan_request_ = other197.retry_loan_request_;
+  retry_loan_ = other197.retry_loan_;
+  __isset = other197.__isset;
+}
+frame::frame(frame&& other198) noexcept {
+  hello_ = std::move(other198.hello_);
+  welcome_ = std::move(other198.welcome_);
+  begin_ = std::move(other198.begin_);
+  body_ = std::move(other198.body_);
+  credit_ = std::move(other198.credit_);
+  cancel_ = std::move(other198.cancel_);
+  head_ = std::move(other198.head_);
+  refused_ = std::move(other198.refused_);
+  failed_ = std::move(other198.failed_);
+  resolve_ = std::move(other198.resolve_);
+  resolution_ = std::move(other198.resolution_);
+  ping_ = std::move(other198.ping_);
+  pong_ = std::move(other198.pong_);
+  drain_ = std::move(other198.drain_);
+  pull_ = std::move(other198.pull_);
+  update_ = std::move(other198.update_);
+  lease_request_ = std::move(other198.lease_request_);
+  lease_grant_ = std::move(other198.lease_grant_);
+  report_ = std::move(other198.report_);
+  view_question_ = std::move(other198.view_question_);
+  view_answer_ = std::move(other198.view_answer_);
+  busy_ = std::move(other198.busy_);
+  membership_ = std::move(other198.membership_);
+  retry_loan_request_ = std::move(other198.retry_loan_request_);
+  retry_loan_ = std::move(other198.retry_loan_);
+  __isset = other198.__isset;
+}
+frame& frame::operator=(const frame& other199) {
+  hello_ = other199.hello_;
+  welcome_ = other199.welcome_;
+  begin_ = other199.begin_;
+  body_ = other199.body_;
+  credit_ = other199.credit_;
+  cancel_ = other199.cancel_;
+  head_ = other199.head_;
+  refused_ = other199.refused_;
+  failed_ = other199.failed_;
+  resolve_ = other199.resolve_;
+  resolution_ = other199.resolution_;
+  ping_ = other199.ping_;
+  pong_ = other199.pong_;
+  drain_ = other199.drain_;
+  pull_ = other199.pull_;
+  update_ = other199.update_;
+  lease_request_ = other199.lease_request_;
+  lease_grant_ = other199.lease_grant_;
+  report_ = other199.report_;
+  view_question_ = other199.view_question_;
+  view_answer_ = other199.view_answer_;
+  busy_ = other199.busy_;
+  membership_ = other199.membership_;
+  retry_loan_request_ = other199.retry_loan_request_;
+  retry_loan_ = other199.retry_loan_;
+  __isset = other199.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other184) noexcept {
-  hello_ = std::move(other184.hello_);
-  welcome_ = std::move(other184.welcome_);
-  begin_ = std::move(other184.begin_);
-  body_ = std::move(other184.body_);
-  credit_ = std::move(other184.credit_);
-  cancel_ = std::move(other184.cancel_);
-  head_ = std::move(other184.head_);
-  refused_ = std::move(other184.refused_);
-  failed_ = std::move(other184.failed_);
-  resolve_ = std::move(other184.resolve_);
-  resolution_ = std::move(other184.resolution_);
-  ping_ = std::move(other184.ping_);
-  pong_ = std::move(other184.pong_);
-  drain_ = std::move(other184.drain_);
-  pull_ = std::move(other184.pull_);
-  update_ = std::move(other184.update_);
-  lease_request_ = std::move(other184.lease_request_);
-  lease_grant_ = std::move(other184.lease_grant_);
-  report_ = std::move(other184.report_);
-  view_question_ = std::move(other184.view_question_);
-  view_answer_ = std::move(other184.view_answer_);
-  busy_ = std::move(other184.busy_);
-  membership_ = std::move(other184.membership_);
-  retry_loan_request_ = std::move(other184.retry_loan_request_);
-  retry_loan_ = std::move(other184.retry_loan_);
-  __isset = other184.__isset;
+frame& frame::operator=(frame&& other200) noexcept {
+  hello_ = std::move(other200.hello_);
+  welcome_ = std::move(other200.welcome_);
+  begin_ = std::move(other200.begin_);
+  body_ = std::move(other200.body_);
+  credit_ = std::move(other200.credit_);
+  cancel_ = std::move(other200.cancel_);
+  head_ = std::move(other200.head_);
+  refused_ = std::move(other200.refused_);
+  failed_ = std::move(other200.failed_);
+  resolve_ = std::move(other200.resolve_);
+  resolution_ = std::move(other200.resolution_);
+  ping_ = std::move(other200.ping_);
+  pong_ = std::move(other200.pong_);
+  drain_ = std::move(other200.drain_);
+  pull_ = std::move(other200.pull_);
+  update_ = std::move(other200.update_);
+  lease_request_ = std::move(other200.lease_request_);
+  lease_grant_ = std::move(other200.lease_grant_);
+  report_ = std::move(other200.report_);
+  view_question_ = std::move(other200.view_question_);
+  view_answer_ = std::move(other200.view_answer_);
+  busy_ = std::move(other200.busy_);
+  membership_ = std::move(other200.membership_);
+  retry_loan_request_ = std::move(other200.retry_loan_request_);
+  retry_loan_ = std::move(other200.retry_loan_);
+  __isset = other200.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
--- a/src/wire/gen/fleet_types.h
+++ b/src/wire/gen/fleet_types.h
@@ -132,6 +132,8 @@
 
 class config_pull;
 
+class changed_lines;
+
 class config_update;
 
 class config_busy;
@@ -1531,10 +1533,11 @@
 std::ostream& operator<<(std::ostream& out, const drain_notice& obj);
 
 typedef struct _config_pull__isset {
-  _config_pull__isset() : value(false), have(false), digest(false) {}
+  _config_pull__isset() : value(false), have(false), digest(false), takes_packed(false) {}
   bool value :1;
   bool have :1;
   bool digest :1;
+  bool takes_packed :1;
 } _config_pull__isset;
 
 class config_pull : public virtual ::apache::thrift::TBase {
@@ -1547,7 +1550,8 @@
   config_pull() noexcept
               : value(static_cast<config_value>(0)),
                 have(0),
-                digest(0) {
+                digest(0),
+                takes_packed(0) {
   }
 
   virtual ~config_pull() noexcept;
@@ -1558,6 +1562,7 @@
   config_value value;
   int64_t have;
   int64_t digest;
+  bool takes_packed;
 
   _config_pull__isset __isset;
 
@@ -1567,6 +1572,8 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_takes_packed(const bool val);
+
   bool operator == (const config_pull & rhs) const
   {
     if (!(value == rhs.value))
@@ -1577,6 +1584,10 @@
       return false;
     else if (__isset.digest && !(digest == rhs.digest))
       return false;
+    if (__isset.takes_packed != rhs.__isset.takes_packed)
+      return false;
+    else if (__isset.takes_packed && !(takes_packed == rhs.takes_packed))
+      return false;
     return true;
   }
   bool operator != (const config_pull &rhs) const {
@@ -1595,14 +1606,66 @@
 
 std::ostream& operator<<(std::ostream& out, const config_pull& obj);
 
+typedef struct _changed_lines__isset {
+  _changed_lines__isset() : removed(false), added(false) {}
+  bool removed :1;
+  bool added :1;
+} _changed_lines__isset;
+
+class changed_lines : public virtual ::apache::thrift::TBase {
+ public:
+
+  changed_lines(const changed_lines&);
+  changed_lines(changed_lines&&) noexcept;
+  changed_lines& operator=(const changed_lines&);
+  changed_lines& operator=(changed_lines&&) noexcept;
+  changed_lines() noexcept {
+  }
+
+  virtual ~changed_lines() noexcept;
+  std::vector<std::string>  removed;
+  std::vector<std::string>  added;
+
+  _changed_lines__isset __isset;
+
+  void __set_removed(const std::vector<std::string> & val);
+
+  void __set_added(const std::vector<std::string> & val);
+
+  bool operator == (const changed_lines & rhs) const
+  {
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(added == rhs.added))
+      return false;
+    return true;
+  }
+  bool operator != (const changed_lines &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const changed_lines & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(changed_lines &a, changed_lines &b);
+
+std::ostream& operator<<(std::ostream& out, const changed_lines& obj);
+
 typedef struct _config_update__isset {
-  _config_update__isset() : value(false), base(false), version(false), removed(false), added(false), digest(false) {}
+  _config_update__isset() : value(false), base(false), version(false), removed(false), added(false), digest(false), packed(false), unpacked_bytes(false) {}
   bool value :1;
   bool base :1;
   bool version :1;
   bool removed :1;
   bool added :1;
   bool digest :1;
+  bool packed :1;
+  bool unpacked_bytes :1;
 } _config_update__isset;
 
 class config_update : public virtual ::apache::thrift::TBase {
@@ -1616,7 +1679,9 @@
                 : value(static_cast<config_value>(0)),
                   base(0),
                   version(0),
-                  digest(0) {
+                  digest(0),
+                  packed(),
+                  unpacked_bytes(0) {
   }
 
   virtual ~config_update() noexcept;
@@ -1630,6 +1695,8 @@
   std::vector<std::string>  removed;
   std::vector<std::string>  added;
   int64_t digest;
+  std::string packed;
+  int32_t unpacked_bytes;
 
   _config_update__isset __isset;
 
@@ -1645,6 +1712,10 @@
 
   void __set_digest(const int64_t val);
 
+  void __set_packed(const std::string& val);
+
+  void __set_unpacked_bytes(const int32_t val);
+
   bool operator == (const config_update & rhs) const
   {
     if (!(value == rhs.value))
@@ -1659,6 +1730,14 @@
       return false;
     if (!(digest == rhs.digest))
       return false;
+    if (__isset.packed != rhs.__isset.packed)
+      return false;
+    else if (__isset.packed && !(packed == rhs.packed))
+      return false;
+    if (__isset.unpacked_bytes != rhs.__isset.unpacked_bytes)
+      return false;
+    else if (__isset.unpacked_bytes && !(unpacked_bytes == rhs.unpacked_bytes))
+      return false;
     return true;
   }
   bool operator != (const config_update &rhs) const {
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -80,7 +80,8 @@
     const auto add = [](std::size_t sum, const std::string& line) { return sum + line.size(); };
     const std::size_t removed =
         std::accumulate(update.removed.begin(), update.removed.end(), std::size_t{0}, add);
-    return std::accumulate(update.added.begin(), update.added.end(), removed, add);
+    return std::accumulate(update.added.begin(), update.added.end(), removed, add) +
+           update.packed.size();
 }
 
 std::string zone_name(std::size_t zone) {
