Only the hosts that read for others watch the store; changes travel on as deltas

A watch delivers the whole configuration with each change, and each host had one: a change cost the configuration times the fleet (152 MB of the store's link for one on 234 hosts), between regions too, although nothing with a bound rested on these relaxed watches: they may be 3 s old. Now the feed of a host that need not read for others reads all once and then rests. A host whose feed rests pulls at once from its zone: no watch of its own is about to deliver.

--- a/src/control/config_feed.h
+++ b/src/control/config_feed.h
@@ -46,9 +46,10 @@
     // Returns false if the last request to the platform failed or none has been answered yet.
     virtual bool platform_available() const = 0;
 
-    // Sets whether the feed watches the platform only with reads that are never old. No effect on a
-    // feed whose reads never are.
-    virtual void set_current_reads(bool /*enabled*/) {}
+    // Sets whether the feed watches the platform. Without that it rests, once it has read
+    // everything: the host learns of changes from others. `evidence_age`: age of the host's
+    // evidence that what it knows is current. No effect on a feed that always watches.
+    virtual void set_current_reads(bool /*enabled*/, base::duration /*evidence_age*/) {}
 
     // Returns the time as of which what was passed to published_ is known to be current, if the
     // platform delivers changes to a watch that waits for them. Empty if the feed does not know.
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -421,7 +421,7 @@
     if (options_.strict_) {
         return base::duration::zero();
     }
-    if (platform_failing_) {
+    if (platform_failing_ || !reads_currently()) {
         return is_in_zone(peer) ? base::duration::zero() : other_zone_delay;
     }
     if (watches_platform() && policy::is_watcher(watchers_, peer)) {
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -4,9 +4,8 @@
 // Every message on a link carries the versions of its sender, so a process that lags behind learns
 // of it with the first message and pulls the newer version from the sender. A process that has lost
 // the platform, or that must know how recent its view is, requests the versions of its peers.
-// One that reads the platform with reads that may be old requests those of the hosts that do not,
-// and these request each other's. Each reply says how old the evidence is that what it passes on is
-// current.
+// Few hosts watch the platform; all others request the versions of these, and these request each
+// other's. Each reply says how old the evidence is that what it passes on is current.
 #pragma once
 
 #include <cstdint>
@@ -36,8 +35,8 @@
     // True: keyed routes depend on a recent view, so all hosts of the zone are polled all the time.
     // False: a few hosts are polled, and only while the platform is unavailable.
     bool strict_ = true;
-    // Time within which the platform usually delivers a version that a peer has already. Only then
-    // is it pulled from the peer: whole configurations are large, and bytes between zones are dear.
+    // Time within which the platform usually delivers a version that a peer has already to a host
+    // that watches it. Only then does such a host pull it from the peer.
     base::duration platform_lead_{};
     // Age of the platform's confirmation above which a host that watches it is not relied on alone.
     // A watch confirms what was in force when it began, so the age grows to two waits.
@@ -104,9 +103,14 @@
     // others.
     bool watches_platform() const { return watchers_.watches_; }
 
-    // Returns true if this host is to read the platform currently: for others, or because it has no
-    // recent evidence from others.
-    bool reads_currently() const { return watches_platform() || evidence_.reads_currently_; }
+    // Returns true if this host is to watch the platform: for others, because it has no recent
+    // evidence from others, or because it trusts nobody else.
+    bool reads_currently() const {
+        return options_.strict_ || watches_platform() || evidence_.reads_currently_;
+    }
+
+    // Returns the age of the oldest evidence for a value.
+    base::duration evidence_age() const { return clock_.now() - policy::oldest(evidence()); }
 
     // Returns the times as of which the values are known to be current here.
     policy::evidence_times evidence() const { return policy::newest(evidence_); }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -200,7 +200,7 @@
         return;
     }
     reads_currently_ = enabled;
-    feed_->set_current_reads(enabled);
+    feed_->set_current_reads(enabled, gossip_.evidence_age());
     record("current_reads", {{"enabled", enabled ? "true" : "false"},
                              {"for_others", gossip_.watches_platform() ? "true" : "false"}});
 }
--- a/src/policy/store_watchers.h
+++ b/src/policy/store_watchers.h
@@ -1,11 +1,10 @@
-// Decides which hosts read the platform's store with reads that are never old.
+// Decides which hosts watch the platform's store.
 //
-// A relaxed read may show the store as it was seconds ago, so nothing that has a bound can rest on
-// relaxed reads alone. A current read costs ten times as much and counts against the rate of calls
-// that the store takes from all hosts. So only a few hosts watch the store with current reads. They
-// ask each other for their versions, so that one whose reads fail unnoticed still learns of
-// changes; all other hosts ask those of their zone, and those of other zones while their own do not
-// reply.
+// The store hands out the whole configuration with each change, and what all hosts call and fetch
+// counts against what it takes, so that a change would cost the configuration times the fleet. So
+// only a few hosts watch the store, with reads that are never old. They ask each other for their
+// versions, so that one whose reads fail unnoticed still learns of changes; all other hosts ask
+// those of their zone, and those of other zones while their own do not reply.
 //
 // The platform's list may name hosts where no process runs: they have just failed, or another
 // writer left the entry. Such hosts are passed over once they are found absent.
--- a/src/policy/view_evidence.h
+++ b/src/policy/view_evidence.h
@@ -1,10 +1,10 @@
 // How old the evidence is that a host's configuration is current, and when a host whose evidence is
 // too old reads the platform by itself.
 //
-// A relaxed read may show the platform as it was seconds ago. So a host's configuration is current
-// only as of the time at which some host was listening to the platform with current reads: this
-// host itself, or one whose reply passed on what it has. The times are kept for each value, because
-// a host may have a value that it does not pass on.
+// Most hosts do not watch the platform. A host's configuration is current only as of the time at
+// which some host was listening to the platform with current reads: this host itself, or one whose
+// reply passed on what it has. The times are kept for each value, because a host may have a value
+// that it does not pass on.
 //
 // Most hosts rely on the few that listen. These may all be lost at once, so a host that is without
 // recent evidence for some time reads currently until one of them replies again. In a large fleet
--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -119,6 +119,7 @@
         };
         callbacks.restored_ = [this](std::int64_t, std::int64_t) { ++restores_; };
         feed_ = environment.make_feed_(thread_.loop(), settings_, std::move(callbacks));
+        feed_->set_current_reads(true, {});
     }
 
     config::settings settings_;
