Send peers with an older program the configuration as one line

A pull that does not take packed lines comes from an older program; it is answered with the text as one line. Test: config_lines_test.

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -182,6 +182,14 @@
     return config::make_delta(config::versioned_lines{}, value.lines_);
 }
 
+config::line_delta configuration::all_lines_for_older(config_value_kind kind) const {
+    const config::versioned_lines& lines = state(kind).lines_;
+    const bool differs = kind == config_value_kind::rules && parsers_.older_rules_;
+    return config::make_delta({}, differs ? config::make_versioned_lines(
+                                                lines.version_, parsers_.older_rules_(lines.lines_))
+                                          : lines);
+}
+
 void configuration::confirm(base::instant when) {
     if (!confirmed_at_ || when > *confirmed_at_) {
         confirmed_at_ = when;
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -33,6 +33,8 @@
     std::function<base::result<config::hosts_ptr>(std::int64_t version,
                                                   const std::vector<std::string>& lines)>
         hosts_;
+    // Returns the lines of rules as older programs expect them; empty if they expect the same.
+    std::function<std::vector<std::string>(const std::vector<std::string>& lines)> older_rules_;
 };
 
 // Returns the parsers for rule lines and host lines.
@@ -106,6 +108,9 @@
     // with base 0, if the peer's lines are not among the last ones.
     config::line_delta delta_from(config_value_kind kind, const known_lines& known) const;
 
+    // Returns all lines for a peer with an older program.
+    config::line_delta all_lines_for_older(config_value_kind kind) const;
+
     // Sets the hold. While it is active, the missing targets stay in use on this host if they were
     // in use before, and the host list is not passed on to peers: a list that was read just after
     // an outage may lack targets that are still there. After a restore, neither is a list with
--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -503,7 +503,10 @@
         return prepared;
     }
     prepared.pull_ = pull;
-    prepared.frame_ = make_update(kind, configuration_.delta_from(kind, to_known_lines(pull)));
+    // A program that does not take packed lines may expect other lines, too.
+    prepared.frame_ = make_update(kind, pull.takes_packed || kind == config_value_kind::hosts
+                                            ? configuration_.delta_from(kind, to_known_lines(pull))
+                                            : configuration_.all_lines_for_older(kind));
     wire::config_update& update = prepared.frame_.update_;
     prepared.lines_ = update.removed.size() + update.added.size();
     if (pull.takes_packed) {
--- a/tests/config_lines_test.cpp
+++ b/tests/config_lines_test.cpp
@@ -5,7 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 
+#include "config/settings.h"
 #include "config/versioned_lines.h"
+#include "control/configuration.h"
+#include "platform/environment.h"
 
 using namespace dandelionridge;
 using namespace dandelionridge::platform;
@@ -53,6 +56,23 @@
     }
 }
 
+// Guards against: hosts with the program before this one rejected each version that they were sent
+// by hosts with this one.
+TEST_CASE("older programs are sent a configuration as one line", "[platform][contract]") {
+    config::settings settings;
+    settings.peer_listen_address_ = {"10.0.0.1", 7070};
+    control::configuration configuration(make_environment(settings).parsers_);
+    const std::string text =
+        R"({"version":"00000003","resources":[{"type":"services","metadata":{"name":"s"}}]})";
+    REQUIRE(configuration.offer_lines(control::config_value_kind::rules, 3, config_lines(text)) ==
+            control::offer_outcome::accepted);
+    const config::line_delta delta =
+        configuration.all_lines_for_older(control::config_value_kind::rules);
+    CHECK(delta.base_ == 0);
+    CHECK(delta.added_ == std::vector<std::string>{text});
+    CHECK(config::apply_delta({}, delta));
+}
+
 TEST_CASE("a text that is no configuration stays as it is", "[platform][odd-entry]") {
     for (const std::string& text :
          {std::string("not a configuration"), std::string("{\"version\":\"1\"}"),
