--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <numeric>
 #include <utility>
 
 #include "base/hash.h"
+#include "config/line_history.h"
 #include "config/settings.h"
 #include "control/gossip.h"
 #include "platform/environment.h"
@@ -77,10 +77,7 @@
 
 // Bytes of the configuration that a message carries.
 std::size_t copy_bytes(const wire::config_update& update) {
-    const auto add = [](std::size_t sum, const std::string& line) { return sum + line.size(); };
-    const std::size_t removed =
-        std::accumulate(update.removed.begin(), update.removed.end(), std::size_t{0}, add);
-    return std::accumulate(update.added.begin(), update.added.end(), removed, add) +
+    return config::total_bytes(update.removed) + config::total_bytes(update.added) +
            update.packed.size();
 }
 
